--- a/src/main/java/org/landingridge/Controller.java
+++ b/src/main/java/org/landingridge/Controller.java
@@ -17,6 +17,7 @@
 import org.landingridge.lead.Leadership;
 import org.landingridge.net.Http;
 import org.landingridge.net.Loop;
+import org.landingridge.obs.Busy.Part;
 import org.landingridge.obs.IncidentReport;
 import org.landingridge.obs.Metrics;
 import org.landingridge.ops.CloudClient;
@@ -51,7 +52,7 @@
     private final Settings settings;
     private final Mirror mirror;
     private final JobTable table = new JobTable();
-    private final Metrics metrics = new Metrics();
+    private final Metrics metrics;
     private final IncidentReport incidents;
     private final JobService jobs;
     private final Leadership lead;
@@ -70,18 +71,20 @@
         this.loop = loop;
         this.settings = settings;
         this.incidents = new IncidentReport(loop);
+        this.metrics = new Metrics(loop::nanos);
         StateClient client = new StateClient(http, settings.state());
         int nodes = settings.peers().size() + 1;
         // A third of the requests go to watches and a third to barriers; the rest is for renewals and writes.
         long pause = Math.max(20, Math.round(1000 * 3.0 * nodes / settings.stateLimits().rps()));
-        mirror = new Mirror(client, loop, ROOT, pause, this::changed);
+        mirror = new Mirror(client, loop, ROOT, pause, metrics.busy, this::changed);
         this.peers = peers;
         others = settings.peers().stream().map(Settings.Peer::host).toList();
         relay = new Relay(loop, peers, settings.host());
         lead = new Leadership(client, mirror, loop, random, LEADER, settings.host(),
                 Math.round(policy.leaderHoldS() * 1000), others, peers, this);
         GroupWriter writer = new GroupWriter(client, mirror, loop, settings.stateLimits().txnOps(),
-                settings.stateLimits().writeRps() * 0.5, LEADER, lead::writeGuard);
+                settings.stateLimits().writeRps() * 0.5, LEADER, lead::writeGuard,
+                metrics.busy);
         cloud = new CloudClient(http, loop, settings.cloud(), settings.cloudLimits().rps());
         jobs = new JobService(client, mirror, loop, table, settings, types, JOBS, metrics);
         parts = new Parts(loop, http, random, settings, policy, lead, writer, cloud, table, types, metrics, incidents);
@@ -93,6 +96,7 @@
         refreshTypes();
         probe();
         tellRunning();
+        logBusy();
     }
 
     /** A record of another controller. */
@@ -107,11 +111,11 @@
             lead.handedOver(m);
         } else if (message instanceof Message.Running m) {
             relay.heard(m.host());
-            showRunning(m.counts());
+            metrics.busy.during(Part.DISPLAY, () -> showRunning(m.counts()));
         } else if (message instanceof Message.Report m) {
             Http.Exchange exchange = relay.carried(m);
             if (reign != null && lead.mayAct()) {
-                report(exchange);
+                metrics.busy.during(Part.CARRIED, () -> report(exchange));
             } else {
                 exchange.answer(503, new byte[0]);
             }
@@ -123,15 +127,22 @@
     /** The counts are for display: users poll any controller, only the leader knows what runs. */
     private void tellRunning() {
         if (reign != null && lead.mayAct()) {
-            Map<String, Integer> counts = reign.running();
-            showRunning(counts);
-            for (String other : others) {
-                peers.send(other, new Message.Running(settings.host(), counts));
-            }
+            metrics.busy.during(Part.DISPLAY, () -> {
+                Map<String, Integer> counts = reign.running();
+                showRunning(counts);
+                for (String other : others) {
+                    peers.send(other, new Message.Running(settings.host(), counts));
+                }
+            });
         }
         loop.after(1_000, this::tellRunning);
     }
 
+    private void logBusy() {
+        metrics.busy.log();
+        loop.after(10_000, this::logBusy);
+    }
+
     private void showRunning(Map<String, Integer> counts) {
         for (Job job : table.active()) {
             job.running(counts.getOrDefault(job.id(), 0));
@@ -210,12 +221,12 @@
         String path = exchange.path();
         String method = exchange.method();
         if (path.equals("/hello")) {
-            only("POST", method, exchange, () -> report(exchange));
+            only("POST", method, exchange, () -> metrics.busy.during(Part.REPORTS, () -> report(exchange)));
         } else if (path.equals("/ready")) {
             only("GET", method, exchange, () -> exchange.answer(ready() ? 200 : 503,
                     Json.bytes(Json.object().put("ready", ready()))));
         } else if (path.equals("/api/jobs")) {
-            only("POST", method, exchange, () -> jobs.submit(exchange));
+            only("POST", method, exchange, () -> user(() -> jobs.submit(exchange)));
         } else if (path.equals("/metrics")) {
             only("GET", method, exchange, () -> exchange.answer(200,
                     metrics.text().getBytes(StandardCharsets.UTF_8)));
@@ -225,9 +236,9 @@
             String rest = path.substring("/api/jobs/".length());
             if (rest.endsWith("/cancel") && rest.length() > "/cancel".length()) {
                 String id = rest.substring(0, rest.length() - "/cancel".length());
-                only("POST", method, exchange, () -> jobs.cancel(exchange, id));
+                only("POST", method, exchange, () -> user(() -> jobs.cancel(exchange, id)));
             } else if (rest.indexOf('/') < 0) {
-                only("GET", method, exchange, () -> jobs.poll(exchange, rest));
+                only("GET", method, exchange, () -> user(() -> jobs.poll(exchange, rest)));
             } else {
                 notFound(exchange);
             }
@@ -236,6 +247,10 @@
         }
     }
 
+    private void user(Runnable request) {
+        metrics.busy.during(Part.USERS, request);
+    }
+
     private static void only(String wanted, String method, Http.Exchange exchange, Runnable served) {
         if (wanted.equals(method)) {
             served.run();
--- a/src/main/java/org/landingridge/Reign.java
+++ b/src/main/java/org/landingridge/Reign.java
@@ -24,6 +24,7 @@
 import org.landingridge.lead.Leadership;
 import org.landingridge.net.Http;
 import org.landingridge.net.Loop;
+import org.landingridge.obs.Busy.Part;
 import org.landingridge.ops.CloudClient;
 import org.landingridge.ops.Operation;
 import org.landingridge.ops.Operations;
@@ -166,7 +167,7 @@
             loop.after(PASS_MS, () -> {
                 passDue = false;
                 if (!closed) {
-                    pass();
+                    parts.metrics().busy.during(Part.PASS, this::pass);
                 }
             });
         }
--- a/src/main/java/org/landingridge/net/Loop.java
+++ b/src/main/java/org/landingridge/net/Loop.java
@@ -13,6 +13,9 @@
     /** Milliseconds of the steady clock; only differences mean anything. */
     long now();
 
+    /** Nanoseconds of the steady clock, to measure how long work takes. */
+    long nanos();
+
     /** Milliseconds of the time of day, for people and records only. */
     long timeOfDay();
 
--- a/src/main/java/org/landingridge/net/XnioLoop.java
+++ b/src/main/java/org/landingridge/net/XnioLoop.java
@@ -20,6 +20,11 @@
         return System.nanoTime() / 1_000_000;
     }
 
+    @Override
+    public long nanos() {
+        return System.nanoTime();
+    }
+
     @Override
     public long timeOfDay() {
         return System.currentTimeMillis();
--- a/src/main/java/org/landingridge/obs/Metrics.java
+++ b/src/main/java/org/landingridge/obs/Metrics.java
@@ -1,10 +1,12 @@
 package org.landingridge.obs;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Meter;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.util.Comparator;
 import java.util.Locale;
+import java.util.function.LongSupplier;
 
 /** Counters of one controller, served as plain text under {@code /metrics}. */
 public final class Metrics {
@@ -18,6 +20,17 @@
     public final Counter lost = counter("lost", "attempts lost with their machine or session");
     public final Counter escalated = counter("escalated", "operations unsettled beyond the query limit");
 
+    public final Busy busy;
+
+    public Metrics(LongSupplier nanos) {
+        busy = new Busy(nanos);
+        for (Busy.Part part : Busy.Part.values()) {
+            FunctionCounter.builder("landingridge.busy.ms." + part.name().toLowerCase(Locale.ROOT), busy,
+                    b -> b.milliseconds(part)).description("time of the core's thread on this part")
+                    .register(registry);
+        }
+    }
+
     private Counter counter(String name, String description) {
         return Counter.builder("landingridge." + name).description(description).register(registry);
     }
--- a/src/main/java/org/landingridge/store/GroupWriter.java
+++ b/src/main/java/org/landingridge/store/GroupWriter.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.landingridge.net.Loop;
+import org.landingridge.obs.Busy;
 import org.landingridge.store.StateClient.Guard;
 import org.landingridge.store.StateClient.Write;
 import org.slf4j.Logger;
@@ -29,6 +30,7 @@
     private final double msPerWrite;
     private final String leaderKey;
     private final LongSupplier leaderVersion;
+    private final Busy busy;
     private final Set<Document> dirty = new LinkedHashSet<>();
     private State state = State.IDLE;
     private long nextAllowed;
@@ -39,7 +41,7 @@
      * @param leaderVersion version of the leader's key, or 0 while this process may not write
      */
     public GroupWriter(StateClient client, Mirror mirror, Loop loop, int maxOps, double writesPerS, String leaderKey,
-            LongSupplier leaderVersion) {
+            LongSupplier leaderVersion, Busy busy) {
         this.client = client;
         this.mirror = mirror;
         this.loop = loop;
@@ -47,13 +49,14 @@
         this.msPerWrite = 1000.0 / writesPerS;
         this.leaderKey = leaderKey;
         this.leaderVersion = leaderVersion;
+        this.busy = busy;
     }
 
     public void mark(Document document) {
         dirty.add(document);
         if (state == State.IDLE) {
             to(State.WAITING);
-            loop.after(Math.max(20, nextAllowed - loop.now()), this::write);
+            loop.after(Math.max(20, nextAllowed - loop.now()), () -> busy.during(Busy.Part.WRITES, this::write));
         }
     }
 
@@ -153,7 +156,7 @@
         to(State.IDLE);
         if (!dirty.isEmpty()) {
             to(State.WAITING);
-            loop.after(Math.max(atLeast, Math.max(20, nextAllowed - loop.now())), this::write);
+            loop.after(Math.max(atLeast, Math.max(20, nextAllowed - loop.now())), () -> busy.during(Busy.Part.WRITES, this::write));
         }
     }
 }
--- a/src/main/java/org/landingridge/store/Mirror.java
+++ b/src/main/java/org/landingridge/store/Mirror.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.landingridge.net.Loop;
+import org.landingridge.obs.Busy;
 import org.landingridge.store.StateClient.Answer;
 import org.landingridge.store.StateClient.Status;
 import org.landingridge.wire.Json;
@@ -32,6 +33,7 @@
     private final Loop loop;
     private final String prefix;
     private final long pauseMs;
+    private final Busy busy;
     private final Listener listener;
     private final Map<String, Long> versions = new HashMap<>();
     private State state = State.LOADING;
@@ -44,11 +46,12 @@
     /** A caller at the barrier; {@code since} lets it give up in time. */
     private record Waiter(Runnable passed, Runnable failed) {}
 
-    public Mirror(StateClient client, Loop loop, String prefix, long pauseMs, Listener listener) {
+    public Mirror(StateClient client, Loop loop, String prefix, long pauseMs, Busy busy, Listener listener) {
         this.client = client;
         this.loop = loop;
         this.prefix = prefix;
         this.pauseMs = pauseMs;
+        this.busy = busy;
         this.listener = listener;
     }
 
@@ -143,6 +146,12 @@
             LOG.warn("an answer to a watch was malformed and is dropped");
             return false;
         }
+        busy.during(Busy.Part.MIRROR, () -> apply(events));
+        revision = Math.max(revision, to);
+        return true;
+    }
+
+    private void apply(JsonNode events) {
         long before = revision;
         for (JsonNode e : events) {
             long version = Json.integer(e, "stamp", -1);
@@ -159,8 +168,6 @@
                 }
             }
         }
-        revision = Math.max(revision, to);
-        return true;
     }
 
     /**
--- a/src/test/java/org/landingridge/sim/Sim.java
+++ b/src/test/java/org/landingridge/sim/Sim.java
@@ -36,6 +36,11 @@
             return now;
         }
 
+        @Override
+        public long nanos() {
+            return now * 1_000_000;
+        }
+
         @Override
         public long timeOfDay() {
             return 1_700_000_000_000L + now;
