The scheduler's pass looks at nodes once a group, not once a task

Cause: for each waiting task every node was scored again, room made by preemption was sought again, and renting counted the zone's machines again; waiting tasks of a group are alike, so one look serves them all. A round asks for at most 50 machines of a pool, so an array of 100,000 tasks makes no more nodes than can be rented.

--- a/src/main/java/org/landingridge/sched/Node.java
+++ b/src/main/java/org/landingridge/sched/Node.java
@@ -40,6 +40,8 @@
     double cpus;
     double gpus;
     double memory;
+    /** Replicas of services on the node. */
+    int services;
     /** Room that comes free once what is stopping has stopped. */
     double soonCpus;
     double soonGpus;
@@ -74,6 +76,7 @@
         cpus -= s.cpus();
         gpus -= s.gpus();
         memory -= s.memoryGb();
+        services += s.service() ? 1 : 0;
         if (lasting) {
             soonCpus -= s.cpus();
             soonGpus -= s.gpus();
@@ -86,6 +89,11 @@
         return (!spot || s.spot()) && (s.types() == null || s.types().contains(type.name())) && g.zoneAllowed(zone);
     }
 
+    /** True while anything at all may fit. */
+    boolean roomy() {
+        return memory > 1e-6 && (cpus > 1e-6 || gpus > 1e-6);
+    }
+
     boolean fits(JobSpec s) {
         return s.cpus() <= cpus + 1e-6 && s.gpus() <= gpus + 1e-6 && s.memoryGb() <= memory + 1e-6;
     }
--- a/src/main/java/org/landingridge/sched/Scheduler.java
+++ b/src/main/java/org/landingridge/sched/Scheduler.java
@@ -2,12 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.Set;
 import org.landingridge.wire.JobSpec;
 import org.landingridge.wire.MachineType;
+import org.landingridge.wire.Priority;
 
 /**
  * First come within team limits, fullest fit, renting in rounds for what waits, give-back when idle. A pure function
@@ -22,8 +25,25 @@
     public record Spare(JobSpec like, int tasks) {}
 
     private static final double ROUND_MARGIN = 1.3;
+    /** Machines of one request to the cloud; the next round asks for more. */
+    private static final int MAX_RENT = 50;
+
+    /** A node on which the next task of a group fits; the lowest score goes first, then the first in the input. */
+    private record Candidate(double score, int index, Node node) implements Comparable<Candidate> {
+        @Override
+        public int compareTo(Candidate other) {
+            int byScore = Double.compare(score, other.score);
+            return byScore != 0 ? byScore : Integer.compare(index, other.index);
+        }
+    }
+
     private final Input in;
     private final Plan plan = new Plan();
+    /** Nodes that may still take tasks now: full ones need not be looked at for every group. */
+    private final List<Node> roomy = new ArrayList<>();
+    /** The least priority of work that could be stopped: nothing is sought for groups that may not stop it. */
+    private Priority least;
+    private final Map<String, Integer> perZone = new HashMap<>();
 
     private Scheduler(Input in) {
         this.in = in;
@@ -39,7 +59,23 @@
     }
 
     private Plan run() {
-        List<Group> order = new ArrayList<>(in.groups);
+        for (Node n : in.nodes) {
+            perZone.merge(n.zone, 1, Integer::sum);
+            if (n.up && n.roomy()) {
+                roomy.add(n);
+            }
+            for (Node.Running r : n.running) {
+                if (n.up && r.spec != null && (least == null || r.spec.priority().compareTo(least) < 0)) {
+                    least = r.spec.priority();
+                }
+            }
+        }
+        List<Group> order = new ArrayList<>();
+        for (Group g : in.groups) {
+            if (g.waiting > 0) {
+                order.add(g);
+            }
+        }
         order.sort(Comparator.comparing((Group g) -> g.spec.priority()).reversed()
                 .thenComparingInt(g -> g.missed).thenComparingLong(g -> g.order));
         List<Group> borrowing = new ArrayList<>();
@@ -60,71 +96,85 @@
     /** Places what it can; true if tasks wait that lie beyond the team's guarantee. */
     private boolean place(Group g, boolean guaranteed, Map<Group, Integer> unplaced) {
         Team team = in.teams.get(g.team);
+        PriorityQueue<Candidate> fitting = null;
+        boolean roomCanBeMade = mayStopAny(g, guaranteed);
         while (g.waiting > 0) {
-            if (!team.allows(g)) {
-                return false;
+            int within = team.more(g.spec, guaranteed, g.waiting);
+            if (within == 0) {
+                return guaranteed && team.more(g.spec, false, 1) > 0;
             }
-            if (guaranteed && !team.guarantees(g)) {
-                return true;
+            if (fitting == null) {
+                fitting = fitting(g);
             }
-            Node node = best(g);
+            Candidate best = next(g, fitting);
+            Node node = best == null ? null : best.node;
             boolean slow = node != null && !timely(g, node);
             // A free machine that must fetch the image first is too slow where a start is expected sooner: then room
             // is made on one that has it.
-            Node made = node == null || slow ? makeRoom(g, guaranteed, slow) : null;
+            Node made = node == null || slow ? makeRoom(g, guaranteed, slow, roomCanBeMade) : null;
             if (made != null) {
                 node = made;
                 node.soonCpus -= g.spec.cpus();
                 node.soonGpus -= g.spec.gpus();
                 node.soonMemory -= g.spec.memoryGb();
+                if (best != null) {
+                    fitting.add(best);
+                }
             } else if (node != null) {
                 node.take(g.spec, true);
                 plan.placements.add(new Plan.Placement(g, node));
+                if (node.fits(g.spec)) {
+                    fitting.add(new Candidate(score(g, node), best.index, node));
+                }
             } else {
-                unplaced.merge(g, 1, Integer::sum);
-                plan.unplaced++;
-                // Room on machines that are still to come is sought by the renting round, for all at once.
-            }
-            if (node != null) {
-                g.perZone.merge(node.zone, 1, Integer::sum);
+                // The tasks of a group are alike: where one finds no room, the others find none either. Room on
+                // machines that are still to come is sought by the renting round, for all at once.
+                unplaced.merge(g, within, Integer::sum);
+                plan.unplaced += within;
+                team.add(g.spec, within);
+                g.waiting -= within;
+                continue;
             }
-            team.add(g, 1);
+            g.perZone.merge(node.zone, 1, Integer::sum);
+            team.add(g.spec, 1);
             g.waiting--;
         }
         return false;
     }
 
-    /** The node with the image, else the fullest on which the task still fits; cheap nodes first where allowed. */
-    private Node best(Group g) {
-        Node best = null;
-        double bestScore = Double.MAX_VALUE;
-        for (Node n : in.nodes) {
-            if (n.up && n.fits(g.spec) && n.allows(g)) {
-                double score = n.cpus / n.type.cpus() + (n.spot || !g.spec.spot() ? 0 : 2);
-                if (g.spec.image() != null && !n.images.contains(g.spec.image())) {
-                    score += g.spec.service() ? 4 : 0.5;
-                }
-                if (g.spec.service()) {
-                    // Replicas spread: one machine's loss should hurt little.
-                    score += 0.3 * services(n);
-                }
-                if (score < bestScore) {
-                    best = n;
-                    bestScore = score;
-                }
+    /** The nodes on which a task of the group fits now, best first. */
+    private PriorityQueue<Candidate> fitting(Group g) {
+        roomy.removeIf(n -> !n.roomy());
+        PriorityQueue<Candidate> all = new PriorityQueue<>();
+        for (int i = 0; i < roomy.size(); i++) {
+            Node n = roomy.get(i);
+            if (n.fits(g.spec) && n.allows(g)) {
+                all.add(new Candidate(score(g, n), i, n));
             }
         }
-        return best;
+        return all;
     }
 
-    private static int services(Node n) {
-        int count = 0;
-        for (Node.Running r : n.running) {
-            if (r.spec != null && r.spec.service()) {
-                count++;
-            }
+    /** The best node left; what earlier tasks of the group made forbidden (one zone, spread) is passed over for good. */
+    private static Candidate next(Group g, PriorityQueue<Candidate> fitting) {
+        Candidate c = fitting.poll();
+        while (c != null && !c.node.allows(g)) {
+            c = fitting.poll();
+        }
+        return c;
+    }
+
+    /** The node with the image, else the fullest on which the task still fits; cheap nodes first where allowed. */
+    private static double score(Group g, Node n) {
+        double score = n.cpus / n.type.cpus() + (n.spot || !g.spec.spot() ? 0 : 2);
+        if (g.spec.image() != null && !n.images.contains(g.spec.image())) {
+            score += g.spec.service() ? 4 : 0.5;
+        }
+        if (g.spec.service()) {
+            // Replicas spread: one machine's loss should hurt little.
+            score += 0.3 * n.services;
         }
-        return count;
+        return score;
     }
 
     /** False if the task would start late there, since its image must be fetched first. */
@@ -133,9 +183,26 @@
                 || g.spec.imageGb() / Math.max(0.01, n.type.fetchGbPerS()) < g.startWithinS * 0.6;
     }
 
-    private Node makeRoom(Group g, boolean guaranteed, boolean onlyTimely) {
+    /** False if there is certainly nothing on any node that the group may have stopped. */
+    private boolean mayStopAny(Group g, boolean guaranteed) {
+        if (least == null) {
+            return false;
+        }
+        int order = least.compareTo(g.spec.priority());
+        if (order != 0 || !guaranteed) {
+            return order < 0;
+        }
+        for (int t = 0; t < in.teams.size(); t++) {
+            if (t != g.team && in.teams.get(t).borrows()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private Node makeRoom(Group g, boolean guaranteed, boolean onlyTimely, boolean mayStop) {
         Node node = soon(g, onlyTimely);
-        return node != null ? node : preempt(g, guaranteed, onlyTimely);
+        return node != null || !mayStop ? node : preempt(g, guaranteed, onlyTimely);
     }
 
     private Node soon(Group g, boolean onlyTimely) {
@@ -156,12 +223,18 @@
             if (!n.up || !n.allows(g) || onlyTimely && !timely(g, n)) {
                 continue;
             }
-            List<Node.Running> candidates = new ArrayList<>();
+            List<Node.Running> candidates = List.of();
             for (Node.Running r : n.running) {
                 if (!r.stopping && r.spec != null && mayStop(g, guaranteed, r)) {
+                    if (candidates.isEmpty()) {
+                        candidates = new ArrayList<>();
+                    }
                     candidates.add(r);
                 }
             }
+            if (candidates.isEmpty()) {
+                continue;
+            }
             // Least work lost first: what started last.
             candidates.sort(Comparator.comparing((Node.Running r) -> r.spec.priority())
                     .thenComparing(r -> -r.startedAt));
@@ -219,14 +292,7 @@
             }
         }
         Map<String, Integer> wanted = new LinkedHashMap<>();
-        unplaced.forEach((g, count) -> {
-            int slots = slots(g, count);
-            for (int i = 0; i < slots; i++) {
-                if (!pack(g, coming, wanted)) {
-                    break;
-                }
-            }
-        });
+        unplaced.forEach((g, count) -> pack(g, slots(g, count), coming, wanted));
         if (in.spare != null && in.spare.like != null) {
             Group room = new Group(in.spare.like, null, Long.MAX_VALUE, 0, 0);
             int missing = in.spare.tasks;
@@ -235,15 +301,11 @@
                     missing -= roomFor(n, room.spec);
                 }
             }
-            for (int i = 0; i < missing; i++) {
-                if (!pack(room, coming, wanted)) {
-                    break;
-                }
-            }
+            pack(room, missing, coming, wanted);
         }
         wanted.forEach((pool, count) -> {
             String[] p = pool.split("/");
-            plan.rents.add(new Plan.Rent(p[0], p[1], p[2].equals("spot"), Math.min(50, count)));
+            plan.rents.add(new Plan.Rent(p[0], p[1], p[2].equals("spot"), count));
         });
     }
 
@@ -287,13 +349,28 @@
         return (int) Math.max(0, Math.min(byCpu, byMemory));
     }
 
-    private boolean pack(Group g, List<Node> coming, Map<String, Integer> wanted) {
-        for (Node n : coming) {
-            if (n.fits(g.spec) && n.allows(g)) {
-                n.take(g.spec, true);
-                return true;
+    /** Packs so many tasks of a group onto machines on their way, then onto new ones for as long as there are any. */
+    private void pack(Group g, int tasks, List<Node> coming, Map<String, Integer> wanted) {
+        int at = 0;
+        for (int left = tasks; left > 0; left--) {
+            while (at < coming.size() && !(coming.get(at).fits(g.spec) && coming.get(at).allows(g))) {
+                at++;
             }
+            if (at == coming.size()) {
+                Node fresh = cheapest(g, wanted);
+                if (fresh == null) {
+                    return;
+                }
+                coming.add(fresh);
+                perZone.merge(fresh.zone, 1, Integer::sum);
+                wanted.merge(pool(fresh.type.name(), fresh.zone, fresh.spot), 1, Integer::sum);
+            }
+            coming.get(at).take(g.spec, true);
         }
+    }
+
+    /** The machine to be rented for a task of the group, or null where there is none to be had in this round. */
+    private Node cheapest(Group g, Map<String, Integer> wanted) {
         for (boolean spot : g.spec.spot() ? new boolean[] {true, false} : new boolean[] {false}) {
             MachineType bestType = null;
             String bestZone = null;
@@ -305,12 +382,14 @@
                 double each = Math.max(g.spec.cpus() / t.cpus(),
                         t.memoryGb() > 0 ? g.spec.memoryGb() / t.memoryGb() : 0);
                 for (String zone : t.zones()) {
-                    if (!g.zoneAllowed(zone)
-                            || in.noCapacityUntil.getOrDefault(pool(t.name(), zone, spot), 0L) > in.now) {
+                    String pool = pool(t.name(), zone, spot);
+                    if (!g.zoneAllowed(zone) || in.noCapacityUntil.getOrDefault(pool, 0L) > in.now
+                            || wanted.getOrDefault(pool, 0) >= MAX_RENT) {
                         continue;
                     }
                     // Equal prices: the zone with the fewest machines, so that a zone's loss hurts little.
-                    double cost = (spot ? t.spotPrice() : t.price()) * each * (1 + 1e-3 * inZone(zone, coming));
+                    double cost = (spot ? t.spotPrice() : t.price()) * each
+                            * (1 + 1e-3 * perZone.getOrDefault(zone, 0));
                     if (cost < bestCost) {
                         bestCost = cost;
                         bestType = t;
@@ -319,29 +398,10 @@
                 }
             }
             if (bestType != null) {
-                Node fresh = new Node(bestType, bestZone, spot, null, false, Set.of());
-                fresh.take(g.spec, true);
-                coming.add(fresh);
-                wanted.merge(pool(bestType.name(), bestZone, spot), 1, Integer::sum);
-                return true;
+                return new Node(bestType, bestZone, spot, null, false, Set.of());
             }
         }
-        return false;
-    }
-
-    private int inZone(String zone, List<Node> coming) {
-        int count = 0;
-        for (Node n : in.nodes) {
-            if (n.up && n.zone.equals(zone)) {
-                count++;
-            }
-        }
-        for (Node n : coming) {
-            if (n.zone.equals(zone)) {
-                count++;
-            }
-        }
-        return count;
+        return null;
     }
 
     private void idle() {
--- a/src/main/java/org/landingridge/sched/Team.java
+++ b/src/main/java/org/landingridge/sched/Team.java
@@ -1,5 +1,7 @@
 package org.landingridge.sched;
 
+import org.landingridge.wire.JobSpec;
+
 /** A team's guarantee and limit, and what its work uses now; 0 as a limit means none. */
 public final class Team {
     final double cpus;
@@ -16,13 +18,24 @@
         this.gpusMax = gpusMax;
     }
 
-    boolean allows(Group g) {
-        return (cpusMax <= 0 || usedCpus + g.spec.cpus() <= cpusMax + 1e-6)
-                && (gpusMax <= 0 || usedGpus + g.spec.gpus() <= gpusMax + 1e-6);
+    /** Tasks like this that still fit within the guarantee, or within the limit, {@code most} at most. */
+    int more(JobSpec spec, boolean guaranteed, int most) {
+        int n = most;
+        if (guaranteed || cpusMax > 0) {
+            n = fit(n, spec.cpus(), (guaranteed ? within(cpus, cpusMax) : cpusMax) - usedCpus);
+        }
+        if (guaranteed || gpusMax > 0) {
+            n = fit(n, spec.gpus(), (guaranteed ? within(gpus, gpusMax) : gpusMax) - usedGpus);
+        }
+        return n;
+    }
+
+    private static double within(double guarantee, double limit) {
+        return limit > 0 ? Math.min(guarantee, limit) : guarantee;
     }
 
-    boolean guarantees(Group g) {
-        return usedCpus + g.spec.cpus() <= cpus + 1e-6 && usedGpus + g.spec.gpus() <= gpus + 1e-6;
+    private static int fit(int most, double each, double room) {
+        return each <= 0 ? most : (int) Math.max(0, Math.min(most, Math.floor((room + 1e-6) / each)));
     }
 
     /** True while the team uses more than it is guaranteed. */
@@ -30,8 +43,8 @@
         return usedCpus > cpus + 1e-6 || usedGpus > gpus + 1e-6;
     }
 
-    void add(Group g, int sign) {
-        usedCpus += sign * g.spec.cpus();
-        usedGpus += sign * g.spec.gpus();
+    void add(JobSpec spec, int tasks) {
+        usedCpus += tasks * spec.cpus();
+        usedGpus += tasks * spec.gpus();
     }
 }
