A takeover of hundreds of machines answers reports first

Now census calls are few at a time and begin after a report's time; reports wait at a controller until a leader is known; the leader announces itself at once; a process opens its door once it has read the state; only news makes a pass; only touched machines are looked at for commands.

--- a/src/main/java/org/landingridge/Controller.java
+++ b/src/main/java/org/landingridge/Controller.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -48,6 +50,10 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
     private static final long READY_MS = 4_000;
+    private static final long OPEN_MS = 2_000;
+    /** A report waits so long for a leader to be known; the worker gives up after 4 s. */
+    private static final long PARK_MS = 1_500;
+    private static final int MAX_PARKED = 400;
     private final Loop loop;
     private final Settings settings;
     private final Mirror mirror;
@@ -64,9 +70,13 @@
     private final PeerNet peers;
     private final List<String> others;
     private final Relay relay;
+    private final Deque<Parked> parked = new ArrayDeque<>();
     private Reign reign;
     private boolean probing;
 
+    /** A report that came while no leader was known. */
+    private record Parked(Http.Exchange exchange, long until) {}
+
     public Controller(Loop loop, Http http, PeerNet peers, RandomGenerator random, Settings settings, Policy policy) {
         this.loop = loop;
         this.settings = settings;
@@ -90,13 +100,27 @@
         parts = new Parts(loop, http, random, settings, policy, lead, writer, cloud, table, types, metrics, incidents);
     }
 
-    public void start() {
+    /** Starts everything; {@code open} lets users and workers in, once there is something to tell them. */
+    public void start(Runnable open) {
         mirror.start();
         lead.start();
         refreshTypes();
         probe();
         tellRunning();
         logBusy();
+        open(open, loop.now() + OPEN_MS);
+    }
+
+    /**
+     * While a fresh process reads the state, hundreds of workers may be at its door after a crash of all controllers.
+     * To turn each away costs it more than to let them find the door closed, and it would lead later for it.
+     */
+    private void open(Runnable open, long latest) {
+        if (mirror.following() || relay.hears() || loop.now() >= latest) {
+            open.run();
+        } else {
+            loop.after(20, () -> open(open, latest));
+        }
     }
 
     /** A record of another controller. */
@@ -127,17 +151,19 @@
     /** The counts are for display: users poll any controller, only the leader knows what runs. */
     private void tellRunning() {
         if (reign != null && lead.mayAct()) {
-            metrics.busy.during(Part.DISPLAY, () -> {
-                Map<String, Integer> counts = reign.running();
-                showRunning(counts);
-                for (String other : others) {
-                    peers.send(other, new Message.Running(settings.host(), counts));
-                }
-            });
+            metrics.busy.during(Part.DISPLAY, this::announce);
         }
         loop.after(1_000, this::tellRunning);
     }
 
+    private void announce() {
+        Map<String, Integer> counts = reign.running();
+        showRunning(counts);
+        for (String other : others) {
+            peers.send(other, new Message.Running(settings.host(), counts));
+        }
+    }
+
     private void logBusy() {
         metrics.busy.log();
         loop.after(10_000, this::logBusy);
@@ -181,6 +207,9 @@
         }
         reign = new Reign(parts, documents);
         table.listener(reign);
+        // The others carry reports from the moment they hear of it, instead of sending every worker here.
+        announce();
+        settleParked();
     }
 
     @Override
@@ -265,27 +294,47 @@
 
     private void report(Http.Exchange exchange) {
         metrics.reports.increment();
-        Report report;
-        try {
-            report = Report.parse(Json.parse(exchange.body()));
-        } catch (BadMessage e) {
-            metrics.malformed.increment();
-            LOG.warn("dropping a report: {}", e.getMessage());
-            exchange.answer(400, Json.bytes(Json.object().put("error", e.getMessage())));
-            return;
-        }
         if (reign != null && lead.mayAct()) {
-            reign.report(report, exchange);
+            try {
+                reign.report(Report.parse(Json.parse(exchange.body())), exchange);
+            } catch (BadMessage e) {
+                metrics.malformed.increment();
+                LOG.warn("dropping a report: {}", e.getMessage());
+                exchange.answer(400, Json.bytes(Json.object().put("error", e.getMessage())));
+            }
             return;
         }
         String leader = lead.leaderHost();
         if (leader != null && !leader.equals(settings.host())) {
             relay.report(leader, exchange);
+        } else if (reign == null && parked.size() < MAX_PARKED) {
+            // Sent away, the worker would try the next controller a second later, which may know as little.
+            parked.addLast(new Parked(exchange, loop.now() + PARK_MS));
+            if (parked.size() == 1) {
+                loop.after(100, this::settleParked);
+            }
         } else {
             exchange.answer(421, Json.bytes(Json.object()));
         }
     }
 
+    private void settleParked() {
+        boolean known = reign != null || lead.leaderHost() != null && !lead.leaderHost().equals(settings.host());
+        for (int left = parked.size(); left > 0; left--) {
+            Parked p = parked.pollFirst();
+            if (known) {
+                report(p.exchange);
+            } else if (loop.now() >= p.until) {
+                p.exchange.answer(421, Json.bytes(Json.object()));
+            } else {
+                parked.addLast(p);
+            }
+        }
+        if (!parked.isEmpty()) {
+            loop.after(100, this::settleParked);
+        }
+    }
+
     private byte[] status() {
         ObjectNode n = Json.object();
         n.put("host", settings.host()).put("leadership", lead.state().name()).put("leader", lead.leaderHost())
--- a/src/main/java/org/landingridge/cli/RunCommand.java
+++ b/src/main/java/org/landingridge/cli/RunCommand.java
@@ -83,8 +83,10 @@
                 message -> controllerOf.get().received(message));
         Controller controller = new Controller(loop, client, peers, new SplittableRandom(seed), settings, policy);
         controllerOf.set(controller);
-        new HttpServer(worker, settings.listen(), JobSpec.MAX_BODY, controller::serve).start();
-        loop.after(0, controller::start);
-        log.info("{} serves on {}", settings.host(), settings.listen());
+        HttpServer server = new HttpServer(worker, settings.listen(), JobSpec.MAX_BODY, controller::serve);
+        loop.after(0, () -> controller.start(() -> {
+            server.start();
+            log.info("{} serves on {}", settings.host(), settings.listen());
+        }));
     }
 }
--- a/src/main/java/org/landingridge/fleet/Attempt.java
+++ b/src/main/java/org/landingridge/fleet/Attempt.java
@@ -16,6 +16,8 @@
     Task owner;
     private State state = State.SENT;
     String why;
+    /** The newest report that shows it, -1 if none does. */
+    long reportedWith = -1;
     /** The report in whose answer the start was last sent, -1 if in none. */
     long sentWithReport = -1;
     /** Token of a direct start that got no answer and so may still arrive; 0 if there is none. */
--- a/src/main/java/org/landingridge/fleet/Fleet.java
+++ b/src/main/java/org/landingridge/fleet/Fleet.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.Function;
 import org.landingridge.config.Settings;
@@ -44,6 +46,11 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
     private static final long CALL_MS = 1_500;
+    /**
+     * Census calls at a time. At a takeover every worker reports by itself within a report or two, and those answers
+     * save leases: calls to hundreds of machines at once would keep the thread from them for seconds.
+     */
+    private static final int CENSUS_CALLS = 12;
     private final Loop loop;
     private final Http http;
     private final Leadership lead;
@@ -53,12 +60,17 @@
     private final IncidentReport incidents;
     private final Events events;
     private final long leaseMs;
+    private final long reportMs;
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private final Map<String, LiveJob> jobs = new LinkedHashMap<>();
+    private final Set<Machine> touched = new LinkedHashSet<>();
     private final Set<String> returned = new HashSet<>();
     private final BootTimes boots = new BootTimes();
     private Function<String, JobSpec> endedSpecs = id -> null;
     private int census;
+    /** Census calls that are out. */
+    private int calling;
+    private long began;
     private long attempts;
     private long tokenRaised = Long.MIN_VALUE / 2;
     private boolean closed;
@@ -75,12 +87,11 @@
         this.events = events;
         // Clocks differ by 0.05 % and our 200 was written after the report was sent: both err on the safe side.
         this.leaseMs = (long) (workers.leaseS() * 1000 * 1.002) + 250;
+        this.reportMs = Math.round(workers.reportS() * 1000);
     }
 
     public void start() {
-        for (Machine m : machines.values()) {
-            callCensus(m, 0);
-        }
+        began = loop.now();
         tick();
     }
 
@@ -279,6 +290,7 @@
         Attempt a = new Attempt(m, task.job.id(), task.index, number, task.job.spec(), task, loop.now());
         m.attempts.put(number, a);
         m.used(a.spec.image());
+        touched.add(m);
         task.to(Task.State.ON_MACHINE, a, loop.now());
         LOG.debug("placing {} on {}", a.name(), m.id);
     }
@@ -289,14 +301,14 @@
             LOG.debug("stopping {} on {}", a.name(), a.machine.id);
             a.stopWanted = true;
             a.graceS = graceS;
+            touched.add(a.machine);
         }
     }
 
-    /** Sends what has been decided, straight to the machines that need it. */
+    /** Sends what has been decided, straight to the machines that need it; what can't be sent now waits for a tick. */
     public void flush() {
-        for (Machine m : machines.values()) {
-            callDirect(m);
-        }
+        touched.forEach(this::callDirect);
+        touched.clear();
     }
 
     /** The finished task is stored: the machine may forget it. */
@@ -340,7 +352,9 @@
             return false;
         }
         long now = loop.now();
+        boolean news = !Objects.equals(m.noticeS, r.noticeS());
         if (r.session() > m.session) {
+            news = true;
             if (m.session >= 0) {
                 LOG.info("{} begins session {}: everything on it was lost", m.id, r.session());
                 incidents.say(m.id + " came back with a new session; what it ran before is lost");
@@ -356,6 +370,7 @@
         m.noticeS = r.noticeS();
         if (m.state() == Machine.State.BOOTING || m.state() == Machine.State.LAPSED) {
             m.to(Machine.State.UP);
+            news = true;
             m.idleSince = now;
             m.answered = Math.max(m.answered, now);
             if (!m.written) {
@@ -366,31 +381,43 @@
                 boots.booted(m.kind, now - m.appeared);
             }
         }
-        Set<Long> present = new HashSet<>();
         for (Report.Entry e : r.tasks()) {
-            present.add(e.attempt());
             Attempt a = m.attempts.get(e.attempt());
             if (a == null) {
                 a = adopt(m, e, now);
+                news = true;
             }
+            a.reportedWith = r.seq();
+            Attempt.State before = a.state();
             seen(a, e, now);
+            news |= a.state() != before;
         }
-        for (Attempt a : new ArrayList<>(m.attempts.values())) {
+        List<Attempt> absent = List.of();
+        for (Attempt a : m.attempts.values()) {
             if (a.unansweredUnder != 0 && r.token() > a.unansweredUnder) {
                 a.unansweredUnder = 0;
             }
-            if (!present.contains(a.number)) {
-                missing(a, r, hello);
+            if (a.reportedWith != r.seq()) {
+                absent = absent.isEmpty() ? new ArrayList<>() : absent;
+                absent.add(a);
             }
         }
+        for (Attempt a : absent) {
+            missing(a, r, hello);
+            news |= a.state() == Attempt.State.OVER;
+        }
         if (r.token() >= reignToken && !m.fenced) {
             m.fenced = true;
+            news = true;
             accounted(m);
         }
         if (m.hasLive()) {
             m.idleSince = now;
         }
-        events.changed();
+        // Most reports say nothing new, and hundreds come each second: they may not cost a pass over the fleet.
+        if (news) {
+            events.changed();
+        }
         return true;
     }
 
@@ -582,7 +609,7 @@
 
     private void callDirect(Machine m) {
         long now = loop.now();
-        if (closed || m.calling || !m.fenced || m.addr == null || now < m.callNotBefore
+        if (closed || m.attempts.isEmpty() || m.calling || !m.fenced || m.addr == null || now < m.callNotBefore
                 || m.state() != Machine.State.UP || now - m.heard > leaseMs || !lead.mayAct()) {
             return;
         }
@@ -624,13 +651,16 @@
 
     /** Shows the machine the new token, and learns what is on it. */
     private void callCensus(Machine m, int tries) {
-        if (closed || m.fenced || m.addr == null || m.calling || !lead.mayAct() || tries > 3) {
+        if (closed || m.fenced || m.addr == null || m.calling || !lead.mayAct() || tries > 3
+                || calling >= CENSUS_CALLS) {
             return;
         }
         m.calling = true;
+        calling++;
         long session = Math.max(1, m.session);
         http.call(m.addr, "POST", "/commands", new Commands().direct(lead.token(), session), CALL_MS, reply -> {
             m.calling = false;
+            calling--;
             if (closed || reply.outcome() != Http.Outcome.ANSWERED) {
                 return;
             }
@@ -666,15 +696,17 @@
         }
         long now = loop.now();
         boolean stuck = false;
+        boolean few = census <= CENSUS_CALLS;
         for (Machine m : new ArrayList<>(machines.values())) {
             boolean open = m.state() == Machine.State.UP || m.inCensus || !m.attempts.isEmpty();
             if (open && now - m.answered > leaseMs) {
                 lapse(m);
             }
             stuck |= m.state() == Machine.State.UP && withdrawn(m, now);
-            if (m.inCensus && !m.fenced && now - m.heard > 1_500) {
+            if (m.inCensus && !m.fenced && now - m.heard > 1_500 && (few || now - began > reportMs + 1_000)) {
                 callCensus(m, 0);
             }
+            callDirect(m);
         }
         if (stuck && now - tokenRaised > 10_000) {
             tokenRaised = now;
--- a/src/main/java/org/landingridge/peer/Relay.java
+++ b/src/main/java/org/landingridge/peer/Relay.java
@@ -37,6 +37,11 @@
         heardAt = loop.now();
     }
 
+    /** True while some leader is heard. */
+    public boolean hears() {
+        return loop.now() - heardAt < FRESH_MS;
+    }
+
     /** Answers a report at a controller that does not lead. */
     public void report(String leader, Http.Exchange exchange) {
         boolean near = leader.equals(heardHost) && loop.now() - heardAt < FRESH_MS;
--- a/src/test/java/org/landingridge/sim/World.java
+++ b/src/test/java/org/landingridge/sim/World.java
@@ -71,7 +71,7 @@
                     }
                 });
             }, new SplittableRandom(sim.random.nextLong()), settings, Policy.DEFAULT);
-            host.after(200, controller::start);
+            host.after(200, () -> controller.start(() -> { }));
         }
 
         void crash(long backAfterMs) {
