A takeover's census holds up only what it does not know

Now a task seen on a fenced machine and lost there is placed at once, and unaccounted machines count within the limits with all that fits on them. The lead is claimed as soon as the state is read, not at the next tick.

--- a/src/main/java/org/landingridge/Controller.java
+++ b/src/main/java/org/landingridge/Controller.java
@@ -118,6 +118,7 @@
     private void open(Runnable open, long latest) {
         if (mirror.following() || relay.hears() || loop.now() >= latest) {
             open.run();
+            lead.consider();
         } else {
             loop.after(20, () -> open(open, latest));
         }
--- a/src/main/java/org/landingridge/Reign.java
+++ b/src/main/java/org/landingridge/Reign.java
@@ -269,12 +269,8 @@
             if (team < 0) {
                 continue;
             }
-            Settings.Team limits = settings.teams().get(job.spec().team());
-            // During the census a machine may hold tasks that nobody has reported: they count within the limit.
-            boolean clear = fleet.accountedFor(job)
-                    && (fleet.censusComplete() || limits.cpusMax() <= 0 && limits.gpusMax() <= 0);
             Group group = new Group(job.spec(), job, job.job().created(), team,
-                    clear && job.notBefore() <= now ? job.count(Task.State.PENDING) : 0);
+                    job.notBefore() <= now ? fleet.placeable(job) : 0);
             expectations.fill(group, job.job(), now, loop.timeOfDay());
             groups.put(job.id(), group);
         }
@@ -301,6 +297,10 @@
         List<Node> nodes = new ArrayList<>();
         for (Machine m : fleet.machines()) {
             boolean usable = fleet.usable(m, now);
+            if (fleet.unaccounted(m)) {
+                // It may hold tasks of any team that nobody has reported, as many as fit: they count within the limits.
+                teams.forEach(t -> t.hold(m.kind().cpus(), m.kind().gpus()));
+            }
             Node node = new Node(m.kind(), m.zone(), m.spot(), m, usable, m.images());
             node.idleMs = fleet.idleMs(m, now);
             for (Attempt a : m.attempts().values()) {
@@ -337,7 +337,7 @@
 
     private void apply(Plan plan) {
         for (Plan.Placement p : plan.placements) {
-            Task task = fleet.nextPending((LiveJob) p.group().job);
+            Task task = fleet.nextPlaceable((LiveJob) p.group().job);
             if (task != null) {
                 fleet.place(task, (Machine) p.node().machine);
             }
--- a/src/main/java/org/landingridge/fleet/Fleet.java
+++ b/src/main/java/org/landingridge/fleet/Fleet.java
@@ -128,17 +128,32 @@
         return sum;
     }
 
-    public boolean censusComplete() {
-        return census == 0;
-    }
-
     public int unaccounted() {
         return census;
     }
 
-    /** True if no attempt that an earlier leader started can still be unknown for this job. */
-    public boolean accountedFor(LiveJob job) {
-        return job.own || census == 0;
+    /**
+     * Tasks that wait for a place and are certainly on no machine. An earlier leader had each task in one place at most:
+     * what this reign has seen on a fenced machine and then lost is accounted for, whatever other machines may hold.
+     */
+    public int placeable(LiveJob job) {
+        if (job.own || census == 0) {
+            return job.count(Task.State.PENDING);
+        }
+        int n = 0;
+        for (Task t : job.tasks()) {
+            n += placeable(t) ? 1 : 0;
+        }
+        return n;
+    }
+
+    private boolean placeable(Task t) {
+        return t.state() == Task.State.PENDING && (t.accounted || t.job.own || census == 0);
+    }
+
+    /** True if the machine may hold tasks that nobody has reported to this leader: no more than fit on it. */
+    public boolean unaccounted(Machine m) {
+        return m.inCensus;
     }
 
     /** How to learn what the tasks of an ended job take. */
@@ -181,10 +196,13 @@
         }
     }
 
-    /** The job's first waiting task, or null. */
-    public Task nextPending(LiveJob job) {
-        for (Task t : job.tasks()) {
-            if (t.state() == Task.State.PENDING) {
+    /** The job's next waiting task that may be placed, or null. */
+    public Task nextPlaceable(LiveJob job) {
+        Task[] tasks = job.tasks();
+        for (int tried = 0; tried < tasks.length; tried++) {
+            Task t = tasks[job.next];
+            job.next = (job.next + 1) % tasks.length;
+            if (placeable(t)) {
                 return t;
             }
         }
@@ -388,6 +406,10 @@
                 news = true;
             }
             a.reportedWith = r.seq();
+            // One that has ended proves nothing: its task may have been placed elsewhere since.
+            if (a.owner != null && r.token() >= reignToken && e.status() != Report.TaskStatus.EXITED) {
+                a.owner.accounted = true;
+            }
             Attempt.State before = a.state();
             seen(a, e, now);
             news |= a.state() != before;
--- a/src/main/java/org/landingridge/fleet/LiveJob.java
+++ b/src/main/java/org/landingridge/fleet/LiveJob.java
@@ -13,6 +13,8 @@
     /** Accepted after the leader was elected, so no earlier leader can have started any of its tasks. */
     final boolean own;
     final long since;
+    /** Where the search for a waiting task goes on. */
+    int next;
     /** Exits with an error since the last success: a job that fails everywhere backs off. */
     int failures;
     long notBefore;
--- a/src/main/java/org/landingridge/fleet/Task.java
+++ b/src/main/java/org/landingridge/fleet/Task.java
@@ -12,6 +12,8 @@
     final int index;
     private State state = State.PENDING;
     private Attempt attempt;
+    /** Seen by this leader on a machine that no earlier leader can command any more: so it is nowhere else. */
+    boolean accounted;
     /** Loop time when the task last became pending. */
     long pendingSince;
 
--- a/src/main/java/org/landingridge/lead/Leadership.java
+++ b/src/main/java/org/landingridge/lead/Leadership.java
@@ -142,9 +142,7 @@
                 stepDown("another controller holds the key");
             }
         }
-        if (state == State.FOLLOWING) {
-            consider();
-        }
+        consider();
     }
 
     /** The mirror's news of the key that names the last leader, for as long as no other follows. */
@@ -176,8 +174,14 @@
         loop.after(holdMs / 6, this::tick);
     }
 
-    /** Claims the lead where the key is free, or where it names an earlier process of this very host. */
-    private void consider() {
+    /**
+     * Claims the lead where the key is free, or where it names an earlier process of this very host. Called whenever
+     * that may have become so.
+     */
+    public void consider() {
+        if (state != State.FOLLOWING) {
+            return;
+        }
         // A claim needs the state service: without a sign of life from it there is no point in trying.
         if (!mirror.following() || loop.now() < claimNotBefore || loop.now() - mirror.lastAnswer() > 2_500) {
             return;
@@ -408,9 +412,7 @@
     /** The leader of this token gives no more commands, by its own word. */
     public void handedOver(Message.HandOver word) {
         handedOver = word.token();
-        if (state == State.FOLLOWING) {
-            consider();
-        }
+        consider();
     }
 
     private void stepDown(String why) {
--- a/src/main/java/org/landingridge/sched/Team.java
+++ b/src/main/java/org/landingridge/sched/Team.java
@@ -10,6 +10,9 @@
     final double gpusMax;
     public double usedCpus;
     public double usedGpus;
+    /** What may be in use besides, unseen: it counts within the limit only. */
+    private double heldCpus;
+    private double heldGpus;
 
     public Team(double cpus, double cpusMax, double gpus, double gpusMax) {
         this.cpus = cpus;
@@ -22,16 +25,22 @@
     int more(JobSpec spec, boolean guaranteed, int most) {
         int n = most;
         if (guaranteed || cpusMax > 0) {
-            n = fit(n, spec.cpus(), (guaranteed ? within(cpus, cpusMax) : cpusMax) - usedCpus);
+            n = fit(n, spec.cpus(), room(guaranteed, cpus, cpusMax, usedCpus, heldCpus));
         }
         if (guaranteed || gpusMax > 0) {
-            n = fit(n, spec.gpus(), (guaranteed ? within(gpus, gpusMax) : gpusMax) - usedGpus);
+            n = fit(n, spec.gpus(), room(guaranteed, gpus, gpusMax, usedGpus, heldGpus));
         }
         return n;
     }
 
-    private static double within(double guarantee, double limit) {
-        return limit > 0 ? Math.min(guarantee, limit) : guarantee;
+    private static double room(boolean guaranteed, double guarantee, double limit, double used, double held) {
+        double within = limit > 0 ? limit - used - held : Double.MAX_VALUE;
+        return guaranteed ? Math.min(within, guarantee - used) : within;
+    }
+
+    public void hold(double moreCpus, double moreGpus) {
+        heldCpus += moreCpus;
+        heldGpus += moreGpus;
     }
 
     private static int fit(int most, double each, double room) {
--- a/src/test/java/org/landingridge/sim/HistoriesTest.java
+++ b/src/test/java/org/landingridge/sim/HistoriesTest.java
@@ -206,6 +206,29 @@
         assertEquals(6, w.rules.places.size());
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {58, 59, 60})
+    @DisplayName("what this leader has seen on a fenced machine is placed again while the census waits for another")
+    void censusWaitsOnlyForWhatItDoesNotKnow(long seed) {
+        World w = new World(seed, 24);
+        for (int i = 0; i < 8; i++) {
+            w.submit(World.job(i, "red", true, 1, 1, 0));
+        }
+        w.sim.run(20_000);
+        Worker silent = w.workers.get(0);
+        Worker failing = w.workers.stream().filter(x -> x != silent && x.running() != null).findFirst().orElseThrow();
+        silent.hang(true);
+        w.leader().crash(2_000);
+        w.sim.run(24_500);
+        String task = failing.running();
+        failing.fail(task);
+        w.sim.run(26_500);
+        assertTrue(w.running(task.substring(0, task.indexOf('/')), 1), task + " runs again before the lease is over");
+        silent.hang(false);
+        w.sim.run(60_000);
+        kept(w);
+    }
+
     @Test
     void machinesAreTakenInAWaveWhileTheLeaderCrashes() {
         World w = new World(61, 10);
--- a/src/test/java/org/landingridge/sim/Worker.java
+++ b/src/test/java/org/landingridge/sim/Worker.java
@@ -57,6 +57,21 @@
         world.workers.remove(this);
     }
 
+    /** A task that runs here, or null. */
+    String running() {
+        return tasks.entrySet().stream().filter(e -> e.getValue().status.equals("running"))
+                .map(e -> e.getKey().substring(0, e.getKey().lastIndexOf('#'))).findFirst().orElse(null);
+    }
+
+    /** A task ends with an error. */
+    void fail(String task) {
+        tasks.forEach((name, run) -> {
+            if (name.startsWith(task + "#") && run.status.equals("running")) {
+                over(name, run, "error");
+            }
+        });
+    }
+
     void hang(boolean on) {
         hangs = on;
         if (!on) {
