--- a/src/main/java/org/landingridge/Reign.java
+++ b/src/main/java/org/landingridge/Reign.java
@@ -312,6 +312,9 @@
                 if (a.spec() != null) {
                     teams.get(team).usedCpus += a.spec().cpus();
                     teams.get(team).usedGpus += a.spec().gpus();
+                    if (a.stopWanted()) {
+                        teams.get(team).stopping(a.spec());
+                    }
                 }
                 Group g = groups.get(a.jobId());
                 if (g != null) {
--- a/src/main/java/org/landingridge/sched/Scheduler.java
+++ b/src/main/java/org/landingridge/sched/Scheduler.java
@@ -248,12 +248,18 @@
                         && g.spec.memoryGb() <= memory + 1e-6) {
                     break;
                 }
+                if (!mayStop(g, guaranteed, r)) {
+                    // The victims before it are all that its team can spare.
+                    continue;
+                }
                 victims.add(r);
+                in.teams.get(r.team).stopping(r.spec);
                 cpus += r.spec.cpus();
                 gpus += r.spec.gpus();
                 memory += r.spec.memoryGb();
                 cost += r.spec.cpus() * (in.now - r.startedAt + 1_000);
             }
+            victims.forEach(r -> in.teams.get(r.team).goesOn(r.spec));
             cost += timely(g, n) ? 0 : 1e9;
             boolean enough = g.spec.cpus() <= cpus + 1e-6 && g.spec.gpus() <= gpus + 1e-6
                     && g.spec.memoryGb() <= memory + 1e-6;
@@ -266,6 +272,7 @@
         if (best != null) {
             for (Node.Running r : bestVictims) {
                 r.stopping = true;
+                in.teams.get(r.team).stopping(r.spec);
                 best.soonCpus += r.spec.cpus();
                 best.soonGpus += r.spec.gpus();
                 best.soonMemory += r.spec.memoryGb();
@@ -275,12 +282,18 @@
         return best;
     }
 
+    /**
+     * Work of lower priority may be stopped, and what another team has borrowed. No team is brought below its own
+     * guarantee for another's: it would take the room back at once, and both would lose their work again and again.
+     */
     private boolean mayStop(Group g, boolean guaranteed, Node.Running r) {
-        if (r.spec.priority().compareTo(g.spec.priority()) < 0) {
+        int order = r.spec.priority().compareTo(g.spec.priority());
+        if (order < 0 && r.team == g.team) {
             return true;
         }
-        return guaranteed && r.team != g.team && in.teams.get(r.team).borrows()
-                && r.spec.priority().compareTo(g.spec.priority()) <= 0 && !r.spec.service();
+        boolean spare = in.teams.get(r.team).canSpare(r.spec);
+        return order < 0 && (guaranteed || spare)
+                || order == 0 && guaranteed && spare && r.team != g.team && !r.spec.service();
     }
 
     /** A round of renting: what waits is packed onto machines that are on their way, then onto new ones. */
--- a/src/main/java/org/landingridge/sched/Team.java
+++ b/src/main/java/org/landingridge/sched/Team.java
@@ -10,6 +10,8 @@
     final double gpusMax;
     public double usedCpus;
     public double usedGpus;
+    private double stoppingCpus;
+    private double stoppingGpus;
     /** What may be in use besides, unseen: it counts within the limit only. */
     private double heldCpus;
     private double heldGpus;
@@ -47,9 +49,27 @@
         return each <= 0 ? most : (int) Math.max(0, Math.min(most, Math.floor((room + 1e-6) / each)));
     }
 
-    /** True while the team uses more than it is guaranteed. */
+    /** True while the team uses more than it is guaranteed, and will go on to. */
     boolean borrows() {
-        return usedCpus > cpus + 1e-6 || usedGpus > gpus + 1e-6;
+        return usedCpus - stoppingCpus > cpus + 1e-6 || usedGpus - stoppingGpus > gpus + 1e-6;
+    }
+
+    /** True if the team keeps its guarantee without this task. */
+    boolean canSpare(JobSpec spec) {
+        return usedCpus - stoppingCpus - spec.cpus() >= cpus - 1e-6
+                && usedGpus - stoppingGpus - spec.gpus() >= gpus - 1e-6;
+    }
+
+    /** Notes a task that has been told to stop: it still counts as used, but is the team's no more. */
+    public void stopping(JobSpec spec) {
+        stoppingCpus += spec.cpus();
+        stoppingGpus += spec.gpus();
+    }
+
+    /** Takes back {@link #stopping} for tasks that are left running after all. */
+    void goesOn(JobSpec spec) {
+        stoppingCpus -= spec.cpus();
+        stoppingGpus -= spec.gpus();
     }
 
     void add(JobSpec spec, int tasks) {
--- a/src/test/java/org/landingridge/sched/SchedulerTest.java
+++ b/src/test/java/org/landingridge/sched/SchedulerTest.java
@@ -178,4 +178,23 @@
                 List.of(new Team(0, 0, 0, 0)), List.of(T4), new HashMap<>(), null, 60_000));
         assertEquals(List.of("fine"), plan.placements.stream().map(p -> p.group().job).toList());
     }
+
+    @Test
+    void noTeamIsBroughtBelowItsGuaranteeForAnothers() {
+        List<Node> nodes = new ArrayList<>();
+        Team lender = new Team(8, 0, 0, 0);
+        Team owner = new Team(8, 0, 0, 0);
+        for (int i = 0; i < 3; i++) {
+            Node n = new Node(T4, "a", false, "m" + i, true, Set.of());
+            n.add(new Node.Running(spec(900 + i, false, Priority.NORMAL, 1, 4, false, false, false), 0, "a" + i, i,
+                    false));
+            lender.usedCpus += 4;
+            nodes.add(n);
+        }
+        Group g = new Group(spec(1, false, Priority.NORMAL, 2, 4, false, false, false), "j", 1, 1, 2);
+        Plan plan = Scheduler.plan(new Scheduler.Input(2_000, nodes, List.of(g), List.of(lender, owner), List.of(T4),
+                new HashMap<>(), null, 60_000));
+        assertEquals(1, plan.stops.size(), "twelve processors in use, eight guaranteed: four are borrowed");
+        assertEquals(1, plan.unplaced);
+    }
 }
