--- a/src/main/java/org/landingridge/Expectations.java
+++ b/src/main/java/org/landingridge/Expectations.java
@@ -24,6 +24,7 @@
     private double second = 1;
     private final Map<String, Double> startWithin = new HashMap<>();
     private final Map<String, Double> finishWithin = new HashMap<>();
+    private final Map<String, Double> finishAtLast = new HashMap<>();
     private final Map<String, Double> ratio = new HashMap<>();
     /** Running mean of the time that a job's work may wait before it is late; negative while nothing is known. */
     private double slackS = -1;
@@ -36,6 +37,7 @@
                 startWithin.merge(o.jobClass(), o.withinS(), Math::min);
             } else if (o.jobClass() != null && o.kind().equals("finished")) {
                 finishWithin.merge(o.jobClass(), o.withinS(), Math::min);
+                finishAtLast.merge(o.jobClass(), o.withinS(), Math::max);
             } else if (o.kind().equals("deadline")) {
                 second = Math.max(second, o.times());
             }
@@ -66,8 +68,8 @@
         long submitted = now + job.submittedAt() - timeOfDay;
         group.due = submitted + Math.round(within * 1000);
         if (now - submitted < STARVED * within * 1000) {
-            double end = (now - submitted) / 1000.0 + group.runS;
-            group.missed = end <= within ? 0 : end <= within * second ? 1 : 2;
+            double times = spec.deadlineS() != null ? second : finishAtLast.get(spec.jobClass()) / within;
+            group.lastDue = submitted + Math.round(within * times * 1000);
         }
         if (job.index() > lastSeen) {
             lastSeen = job.index();
--- a/src/main/java/org/landingridge/sched/Group.java
+++ b/src/main/java/org/landingridge/sched/Group.java
@@ -17,8 +17,10 @@
     public double runS;
     /** When the job should be over, by the clock of the pass; Long.MAX_VALUE where nothing is expected. */
     public long due = Long.MAX_VALUE;
+    /** Until when being over still counts for something, where the due time is missed. */
+    public long lastDue = Long.MAX_VALUE;
     /**
-     * 0 while the job can still be over in time; more if it has missed that and steps behind those that can. Among
+     * 0 while the job can still be over in time; more if it cannot and steps behind those that can. Among
      * equals the first come is served first.
      */
     public int missed;
--- a/src/main/java/org/landingridge/sched/Scheduler.java
+++ b/src/main/java/org/landingridge/sched/Scheduler.java
@@ -37,6 +37,9 @@
         }
     }
 
+    private static final Comparator<Group> ORDER = Comparator.comparing((Group g) -> g.spec.priority()).reversed()
+            .thenComparingInt(g -> g.missed).thenComparingLong(g -> g.order);
+
     private final Input in;
     private final Plan plan = new Plan();
     /** Nodes that may still take tasks now: full ones need not be looked at for every group. */
@@ -76,8 +79,9 @@
                 order.add(g);
             }
         }
-        order.sort(Comparator.comparing((Group g) -> g.spec.priority()).reversed()
-                .thenComparingInt(g -> g.missed).thenComparingLong(g -> g.order));
+        order.sort(ORDER);
+        forecast(order);
+        order.sort(ORDER);
         List<Group> borrowing = new ArrayList<>();
         Map<Group, Integer> unplaced = new LinkedHashMap<>();
         for (Group g : order) {
@@ -93,6 +97,38 @@
         return plan;
     }
 
+    /**
+     * Lets the jobs that cannot be in time step behind those that can: first come, each job is due to be over once the
+     * work before it and its own have gone through the processors there are. Work spent on a job that is late all the
+     * same makes the next ones late too, until in a burst hardly any is in time.
+     */
+    private void forecast(List<Group> order) {
+        double processors = 0;
+        for (Node n : in.nodes) {
+            processors += n.type.cpus();
+            for (Node.Running r : n.running) {
+                processors -= r.spec == null || r.spec.service() ? r.spec == null ? n.type.cpus() : r.spec.cpus() : 0;
+            }
+        }
+        double before = 0;
+        for (int chance = 0; chance < 2; chance++) {
+            for (Group g : order) {
+                if (g.missed != chance || g.runS <= 0) {
+                    continue;
+                }
+                double work = g.waiting * g.runS * g.spec.cpus();
+                long end = in.now + Math.round(1000 * ((before + work) / Math.max(1, processors) + g.runS));
+                if (chance == 0 && end > g.due && g.lastDue < Long.MAX_VALUE) {
+                    g.missed = 1;
+                } else if (chance == 1 && end > g.lastDue) {
+                    g.missed = 2;
+                } else {
+                    before += work;
+                }
+            }
+        }
+    }
+
     /** Places what it can; true if tasks wait that lie beyond the team's guarantee. */
     private boolean place(Group g, boolean guaranteed, Map<Group, Integer> unplaced) {
         Team team = in.teams.get(g.team);
