--- a/src/main/java/org/landingridge/Expectations.java
+++ b/src/main/java/org/landingridge/Expectations.java
@@ -15,8 +15,10 @@
  * What is expected of jobs, from the platform's objectives, the jobs' own deadlines and what completed tasks showed.
  */
 final class Expectations {
-    /** Weight of the newest job in the running mean of the slack. */
+    /** Weight of the newest job in the running share of hurried ones. */
     private static final double NEWEST = 0.1;
+    /** A job that has fewer boot times than that to spare is taken to be hurried: boots vary, and images are fetched. */
+    private static final double PATIENCE = 2.5;
     /** A job that has waited for so many times its allowance is first come again, whatever it has missed. */
     private static final double STARVED = 6;
     private final Policy policy;
@@ -26,8 +28,9 @@
     private final Map<String, Double> finishWithin = new HashMap<>();
     private final Map<String, Double> finishAtLast = new HashMap<>();
     private final Map<String, Double> ratio = new HashMap<>();
-    /** Running mean of the time that a job's work may wait before it is late; negative while nothing is known. */
-    private double slackS = -1;
+    /** Running share of the jobs that cannot wait for a boot and still be in time; negative while nothing is known. */
+    private double hurried = -1;
+    private double bootS = 60;
     private int lastSeen = -1;
 
     Expectations(List<Settings.Objective> objectives, Policy policy) {
@@ -56,7 +59,7 @@
         return spec.service() ? 0 : spec.estimateS() * ratio.getOrDefault(spec.jobClass(), 1.0);
     }
 
-    /** Notes what is expected of a group; the first sight of a job also counts for the mean slack. */
+    /** Notes what is expected of a group; the first sight of a job also tells how hurried jobs are. */
     void fill(Group group, Job job, long now, long timeOfDay) {
         JobSpec spec = group.spec;
         group.startWithinS = startWithin.getOrDefault(spec.jobClass(), 0.0);
@@ -73,8 +76,8 @@
         }
         if (job.index() > lastSeen) {
             lastSeen = job.index();
-            double slack = Math.max(0, within - group.runS);
-            slackS = slackS < 0 ? slack : slackS * (1 - NEWEST) + slack * NEWEST;
+            double hurry = within - group.runS < PATIENCE * bootS ? 1 : 0;
+            hurried = hurried < 0 ? hurry : hurried * (1 - NEWEST) + hurry * NEWEST;
         }
     }
 
@@ -83,8 +86,7 @@
      * where it may not, the room for the next burst has to be there already.
      */
     long idleMs(Collection<MachineType> types) {
-        double boot = types.stream().mapToDouble(MachineType::bootS).max().orElse(60);
-        boolean tight = slackS >= 0 && slackS < 2.5 * boot;
-        return Math.round(1000 * (tight ? policy.tightIdleS() : policy.idleS()));
+        bootS = types.stream().mapToDouble(MachineType::bootS).max().orElse(60);
+        return Math.round(1000 * (hurried > 0.5 ? policy.tightIdleS() : policy.idleS()));
     }
 }
--- a/src/main/java/org/landingridge/sched/Scheduler.java
+++ b/src/main/java/org/landingridge/sched/Scheduler.java
@@ -98,37 +98,51 @@
     }
 
     /**
-     * Lets the jobs that cannot be in time step behind those that can: first come, each job is due to be over once the
-     * work before it and its own have gone through the processors there are. Work spent on a job that is late all the
-     * same makes the next ones late too, until in a burst hardly any is in time.
+     * Lets jobs step behind where not all can be in time. First come, each is due to be over once the work before it
+     * and its own have gone through the processors there are; where that is too late, the largest job so far gives way,
+     * so that as few as possible are late (Moore and Hodgson's rule). Work spent on a job that is late all the same
+     * makes the next ones late too, until in a burst hardly any is in time.
      */
     private void forecast(List<Group> order) {
         double processors = 0;
         for (Node n : in.nodes) {
             processors += n.type.cpus();
             for (Node.Running r : n.running) {
-                processors -= r.spec == null || r.spec.service() ? r.spec == null ? n.type.cpus() : r.spec.cpus() : 0;
+                if (r.spec != null && r.spec.service()) {
+                    processors -= r.spec.cpus();
+                }
             }
         }
-        double before = 0;
+        double seconds = 1000 / Math.max(1, processors);
         for (int chance = 0; chance < 2; chance++) {
+            PriorityQueue<Group> largest = new PriorityQueue<>(Comparator.comparingDouble(Scheduler::work).reversed()
+                    .thenComparing(Comparator.comparingLong((Group g) -> g.order).reversed()));
+            double work = 0;
             for (Group g : order) {
-                if (g.missed != chance || g.runS <= 0) {
+                if (g.missed != chance || g.runS <= 0 || g.lastDue == Long.MAX_VALUE) {
+                    work += g.missed == chance ? work(g) : 0;
                     continue;
                 }
-                double work = g.waiting * g.runS * g.spec.cpus();
-                long end = in.now + Math.round(1000 * ((before + work) / Math.max(1, processors) + g.runS));
-                if (chance == 0 && end > g.due && g.lastDue < Long.MAX_VALUE) {
-                    g.missed = 1;
-                } else if (chance == 1 && end > g.lastDue) {
-                    g.missed = 2;
-                } else {
-                    before += work;
+                double left = (chance == 0 ? g.due : g.lastDue) - in.now - 1000 * g.runS;
+                largest.add(g);
+                work += work(g);
+                while (g.missed == chance && work * seconds > left) {
+                    Group out = work(g) * seconds > left ? g : largest.poll();
+                    if (out == g) {
+                        largest.remove(g);
+                    }
+                    work -= work(out);
+                    out.missed = chance + 1;
                 }
             }
         }
     }
 
+    /** Processor seconds of the tasks that wait. */
+    private static double work(Group g) {
+        return g.waiting * g.runS * g.spec.cpus();
+    }
+
     /** Places what it can; true if tasks wait that lie beyond the team's guarantee. */
     private boolean place(Group g, boolean guaranteed, Map<Group, Integer> unplaced) {
         Team team = in.teams.get(g.team);
