--- a/src/main/java/org/landingridge/sched/Scheduler.java
+++ b/src/main/java/org/landingridge/sched/Scheduler.java
@@ -37,6 +37,9 @@
         }
     }
 
+    private static final Comparator<Group> ORDER = Comparator.comparing((Group g) -> g.spec.priority()).reversed()
+            .thenComparingInt(g -> g.missed).thenComparingLong(g -> g.order);
+
     private final Input in;
     private final Plan plan = new Plan();
     /** Nodes that may still take tasks now: full ones need not be looked at for every group. */
@@ -76,8 +79,9 @@
                 order.add(g);
             }
         }
-        order.sort(Comparator.comparing((Group g) -> g.spec.priority()).reversed()
-                .thenComparingInt(g -> g.missed).thenComparingLong(g -> g.order));
+        order.sort(ORDER);
+        forecast(order);
+        order.sort(ORDER);
         List<Group> borrowing = new ArrayList<>();
         Map<Group, Integer> unplaced = new LinkedHashMap<>();
         for (Group g : order) {
@@ -93,6 +97,52 @@
         return plan;
     }
 
+    /**
+     * Lets jobs step behind where not all can be in time. First come, each is due to be over once the work before it
+     * and its own have gone through the processors there are; where that is too late, the largest job so far gives way,
+     * so that as few as possible are late (Moore and Hodgson's rule). Work spent on a job that is late all the same
+     * makes the next ones late too, until in a burst hardly any is in time.
+     */
+    private void forecast(List<Group> order) {
+        double processors = 0;
+        for (Node n : in.nodes) {
+            processors += n.type.cpus();
+            for (Node.Running r : n.running) {
+                if (r.spec != null && r.spec.service()) {
+                    processors -= r.spec.cpus();
+                }
+            }
+        }
+        double seconds = 1000 / Math.max(1, processors);
+        for (int chance = 0; chance < 2; chance++) {
+            PriorityQueue<Group> largest = new PriorityQueue<>(Comparator.comparingDouble(Scheduler::work).reversed()
+                    .thenComparing(Comparator.comparingLong((Group g) -> g.order).reversed()));
+            double work = 0;
+            for (Group g : order) {
+                if (g.missed != chance || g.runS <= 0 || g.lastDue == Long.MAX_VALUE) {
+                    work += g.missed == chance ? work(g) : 0;
+                    continue;
+                }
+                double left = (chance == 0 ? g.due : g.lastDue) - in.now - 1000 * g.runS;
+                largest.add(g);
+                work += work(g);
+                while (g.missed == chance && work * seconds > left) {
+                    Group out = work(g) * seconds > left ? g : largest.poll();
+                    if (out == g) {
+                        largest.remove(g);
+                    }
+                    work -= work(out);
+                    out.missed = chance + 1;
+                }
+            }
+        }
+    }
+
+    /** Processor seconds of the tasks that wait. */
+    private static double work(Group g) {
+        return g.waiting * g.runS * g.spec.cpus();
+    }
+
     /** Places what it can; true if tasks wait that lie beyond the team's guarantee. */
     private boolean place(Group g, boolean guaranteed, Map<Group, Integer> unplaced) {
         Team team = in.teams.get(g.team);
