--- a/src/main/java/org/landingridge/fleet/Fleet.java
+++ b/src/main/java/org/landingridge/fleet/Fleet.java
@@ -472,7 +472,11 @@
                 }
             }
             case RUNNING -> {
-                if (a.state() != Attempt.State.EXITED) {
+                if (a.state() != Attempt.State.EXITED && a.state() != Attempt.State.RUNNING) {
+                    if (LOG.isDebugEnabled() && a.owner != null) {
+                        LOG.debug("{} runs on {}: {} ms after the job came, {} after it was placed", a.name(),
+                                a.machine.id, now - a.owner.job.since, now - a.since);
+                    }
                     a.to(Attempt.State.RUNNING, now);
                 }
             }
