Start without Jackson's object mapper; an own earlier process fell silent before this one began

Setting up the object mapper (date formats, locales, introspection) cost about 40 ms of processor time at each start. A leader whose predecessor was an earlier process of its own host counts the workers' leases from its own start, not from its election; the claim is now also conditional on who led last, from which that is concluded.

--- a/src/main/java/org/landingridge/config/Settings.java
+++ b/src/main/java/org/landingridge/config/Settings.java
@@ -1,7 +1,8 @@
 package org.landingridge.config;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import com.fasterxml.jackson.dataformat.toml.TomlFactory;
 import com.google.common.net.HostAndPort;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -11,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.landingridge.wire.Json;
 
 /** The file that the platform hands over. Unknown fields are ignored, known ones are checked. */
 public record Settings(String host, String zone, InetSocketAddress listen, InetSocketAddress peerListen,
@@ -36,8 +38,8 @@
 
     public static Settings read(Path file) throws BadSettings {
         JsonNode root;
-        try {
-            root = new TomlMapper().readTree(Files.readAllBytes(file));
+        try (JsonParser parser = new TomlFactory().createParser(Files.readAllBytes(file))) {
+            root = Json.read(parser);
         } catch (IOException e) {
             throw new BadSettings(file + ": cannot be read as TOML: " + firstLine(e.getMessage()));
         }
--- a/src/main/java/org/landingridge/fleet/Fleet.java
+++ b/src/main/java/org/landingridge/fleet/Fleet.java
@@ -222,6 +222,7 @@
         if (addr != null) {
             m.written = true;
             m.inCensus = true;
+            m.answered = lead.silentSince();
             census++;
         }
         machines.put(id, m);
--- a/src/main/java/org/landingridge/lead/Leadership.java
+++ b/src/main/java/org/landingridge/lead/Leadership.java
@@ -67,6 +67,7 @@
     private boolean renewing;
     private boolean raising;
     private long claimNotBefore;
+    private long silentSince;
     private long renewed = Long.MIN_VALUE / 2;
     /** The leader that has stepped down by its own word, by its token: its key may be replaced. */
     private long handedOver;
@@ -116,6 +117,11 @@
         return token;
     }
 
+    /** Since when, by the loop's clock, no earlier leader can have answered a worker. */
+    public long silentSince() {
+        return silentSince;
+    }
+
     /** Version of the leader's key that the leader's writes are conditional on; 0 while this process may not write. */
     public long writeGuard() {
         return leads() ? token : 0;
@@ -199,11 +205,14 @@
         }
         to(State.CLAIMING);
         long seen = mirror.version(key);
+        long seenLast = mirror.version(lastKey);
+        // Whatever an earlier process of this host promised or answered is over since this process began.
+        long silent = mine || host.equals(lastHost) ? started : loop.now();
         // The earlier process of this host is dead: no need to draw lots with the others.
-        loop.after(mine ? 0 : random.nextInt(60), () -> claim(seen));
+        loop.after(mine ? 0 : random.nextInt(60), () -> claim(seen, seenLast, silent));
     }
 
-    private void claim(long seen) {
+    private void claim(long seen, long seenLast, long silent) {
         long sent = loop.now();
         client.grant(holdMs, granted -> {
             if (!granted.ok() || Json.integer(granted.body(), "permit", 0) == 0) {
@@ -213,10 +222,15 @@
             long lease = Json.integer(granted.body(), "permit", 0);
             JsonNode value = Json.object().put("host", host).put("incarnation", incarnation);
             List<Write> writes = List.of(new Write(key, value, lease), new Write(lastKey, value, 0));
-            client.commit(List.of(new Guard(key, seen)), writes, answer -> {
+            // What was concluded from the last leader's name holds only if no one has led since.
+            List<Guard> guards = List.of(new Guard(key, seen), new Guard(lastKey, seenLast));
+            client.commit(guards, writes, answer -> {
                 if (answer.ok()) {
+                    silentSince = silent;
+                    mirror.committed(lastKey, answer.revision());
                     won(lease, answer.revision(), sent);
                 } else if (answer.status() == Status.UNKNOWN) {
+                    silentSince = silent;
                     settleClaim(lease, sent, 0);
                 } else {
                     client.release(lease, ignored -> { });
--- a/src/main/java/org/landingridge/ops/Operations.java
+++ b/src/main/java/org/landingridge/ops/Operations.java
@@ -102,7 +102,7 @@
         Operation op = new Operation(root, key, kind, request, loop.timeOfDay(), token, this);
         all.put(key, op);
         writer.mark(op);
-        LOG.info("{} {}: {}", kind, key, request);
+        LOG.info("{} {}: {}", kind, key, Json.text(request));
         return op;
     }
 
--- a/src/main/java/org/landingridge/store/GroupWriter.java
+++ b/src/main/java/org/landingridge/store/GroupWriter.java
@@ -11,6 +11,7 @@
 import org.landingridge.obs.Busy;
 import org.landingridge.store.StateClient.Guard;
 import org.landingridge.store.StateClient.Write;
+import org.landingridge.wire.Json;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -89,7 +90,7 @@
         List<Document> taken = new ArrayList<>();
         for (Document d : group) {
             JsonNode value = d.render();
-            int size = value == null ? 50 : value.toString().length() + 100;
+            int size = value == null ? 50 : Json.bytes(value).length + 100;
             if (bytes + size > 60_000) {
                 break;
             }
