--- a/src/main/java/org/landingridge/Controller.java
+++ b/src/main/java/org/landingridge/Controller.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.landingridge.config.Policy;
@@ -54,6 +55,8 @@
     /** A report waits so long for a leader to be known; the worker gives up after 4 s. */
     private static final long PARK_MS = 1_500;
     private static final int MAX_PARKED = 400;
+    /** A new leader is heard over {@code back} so soon, or there is no way to it. */
+    private static final long HEAR_MS = 1_000;
     private final Loop loop;
     private final Settings settings;
     private final Mirror mirror;
@@ -73,6 +76,7 @@
     private final Deque<Parked> parked = new ArrayDeque<>();
     private Reign reign;
     private boolean probing;
+    private long leaderSince = Long.MIN_VALUE / 2;
 
     /** A report that came while no leader was known. */
     private record Parked(Http.Exchange exchange, long until) {}
@@ -116,7 +120,7 @@
      * To turn each away costs it more than to let them find the door closed, and it would lead later for it.
      */
     private void open(Runnable open, long latest) {
-        if (mirror.following() || relay.hears() || loop.now() >= latest) {
+        if (mirror.following() || relay.heard() != null || loop.now() >= latest) {
             open.run();
             lead.consider();
         } else {
@@ -180,7 +184,11 @@
         if (key.startsWith(JOBS)) {
             table.changed(key.substring(JOBS.length()), value, version);
         } else if (key.equals(LEADER)) {
+            String before = lead.leaderHost();
             lead.keyChanged(value, version);
+            if (!Objects.equals(before, lead.leaderHost())) {
+                leaderSince = loop.now();
+            }
         } else if (key.equals(LEADER + "-last")) {
             lead.lastChanged(value);
         } else {
@@ -209,7 +217,13 @@
         reign = new Reign(parts, documents);
         table.listener(reign);
         // The others carry reports from the moment they hear of it, instead of sending every worker here.
-        announce();
+        for (long at = 0; at < HEAR_MS; at += HEAR_MS / 4) {
+            loop.after(at, () -> {
+                if (reign != null && lead.mayAct()) {
+                    announce();
+                }
+            });
+        }
         settleParked();
     }
 
@@ -305,11 +319,11 @@
             }
             return;
         }
-        String leader = lead.leaderHost();
-        if (leader != null && !leader.equals(settings.host())) {
-            relay.report(leader, exchange);
+        if (otherLeads()) {
+            relay.report(leader(), exchange);
         } else if (reign == null && parked.size() < MAX_PARKED) {
-            // Sent away, the worker would try the next controller a second later, which may know as little.
+            // Sent away, the worker would try the next controller a second later, which may know as little. And sent
+            // to a leader that was elected a moment ago, hundreds would all be served by that one processor.
             parked.addLast(new Parked(exchange, loop.now() + PARK_MS));
             if (parked.size() == 1) {
                 loop.after(100, this::settleParked);
@@ -319,8 +333,20 @@
         }
     }
 
+    /** True if another controller leads and reports can be carried, or sent, to it. */
+    private boolean otherLeads() {
+        String leader = leader();
+        return leader != null && !leader.equals(settings.host())
+                && (leader.equals(relay.heard()) || loop.now() - leaderSince > HEAR_MS);
+    }
+
+    /** The leader by its key; a process that began in an outage of the state service knows it by its word only. */
+    private String leader() {
+        return lead.leaderHost() != null || mirror.following() ? lead.leaderHost() : relay.heard();
+    }
+
     private void settleParked() {
-        boolean known = reign != null || lead.leaderHost() != null && !lead.leaderHost().equals(settings.host());
+        boolean known = reign != null || otherLeads();
         for (int left = parked.size(); left > 0; left--) {
             Parked p = parked.pollFirst();
             if (known) {
--- a/src/main/java/org/landingridge/peer/Relay.java
+++ b/src/main/java/org/landingridge/peer/Relay.java
@@ -37,15 +37,14 @@
         heardAt = loop.now();
     }
 
-    /** True while some leader is heard. */
-    public boolean hears() {
-        return loop.now() - heardAt < FRESH_MS;
+    /** The leader that is heard over {@code back}, or null. */
+    public String heard() {
+        return loop.now() - heardAt < FRESH_MS ? heardHost : null;
     }
 
     /** Answers a report at a controller that does not lead. */
     public void report(String leader, Http.Exchange exchange) {
-        boolean near = leader.equals(heardHost) && loop.now() - heardAt < FRESH_MS;
-        if (!near || waiting.size() >= MAX_WAITING) {
+        if (!leader.equals(heard()) || waiting.size() >= MAX_WAITING) {
             redirect(leader, exchange);
             return;
         }
