--- a/src/main/java/org/landingridge/Reign.java
+++ b/src/main/java/org/landingridge/Reign.java
@@ -288,11 +288,34 @@
         Scheduler.Spare spare = service == null ? null
                 : new Scheduler.Spare(service, Math.max(2, (int) Math.ceil(services * policy.spareShare())));
         Plan plan = Scheduler.plan(new Scheduler.Input(now, nodes, List.copyOf(groups.values()), teams,
-                List.copyOf(parts.types().values()), noCapacityUntil, spare,
+                List.copyOf(parts.types().values()), closedPools(now), spare,
                 expectations.idleMs(parts.types().values())));
         apply(plan);
     }
 
+    /**
+     * Pools in which nothing is to be had, by what the cloud said, or in which it would be of no use: where most
+     * machines of a zone have fallen silent the zone is cut off, and new ones there could not be reached either.
+     */
+    private Map<String, Long> closedPools(long now) {
+        Map<String, Integer> silent = new HashMap<>();
+        for (Machine m : fleet.machines()) {
+            if (m.state() == Machine.State.UP || m.state() == Machine.State.LAPSED) {
+                silent.merge(m.zone(), m.state() == Machine.State.LAPSED ? 1 : -1, Integer::sum);
+            }
+        }
+        Map<String, Long> closed = new HashMap<>(noCapacityUntil);
+        silent.forEach((zone, more) -> {
+            if (more > 0) {
+                for (String type : parts.types().keySet()) {
+                    closed.put(Scheduler.pool(type, zone, true), now + 1);
+                    closed.put(Scheduler.pool(type, zone, false), now + 1);
+                }
+            }
+        });
+        return closed;
+    }
+
     private List<Node> nodes(long now, List<Team> teams, Map<String, Group> groups) {
         List<Node> nodes = new ArrayList<>();
         for (Machine m : fleet.machines()) {
--- a/src/main/java/org/landingridge/cli/RehearseCommand.java
+++ b/src/main/java/org/landingridge/cli/RehearseCommand.java
@@ -55,7 +55,7 @@
         new HttpServer(worker, new InetSocketAddress("127.0.0.1", standIn), JobSpec.MAX_BODY,
                 x -> answer(x, loop, host + standIn)).start();
         RunCommand.start(settings, Policy.DEFAULT);
-        HttpClient client = new HttpClient(worker.getIoThread(), loop);
+        HttpClient client = new HttpClient(worker.getIoThread(), loop, 16);
         for (int i = 0; i < 25; i++) {
             loop.after(600 + i * 100L, () -> {
                 client.call(host + serve, "GET", "/ready", null, 1_000, r -> { });
--- a/src/main/java/org/landingridge/cli/RunCommand.java
+++ b/src/main/java/org/landingridge/cli/RunCommand.java
@@ -75,7 +75,8 @@
         Logger log = LoggerFactory.getLogger(RunCommand.class);
         XnioWorker worker = worker();
         XnioLoop loop = new XnioLoop(worker.getIoThread());
-        HttpClient client = new HttpClient(worker.getIoThread(), loop);
+        HttpClient client = new HttpClient(worker.getIoThread(), loop,
+                Math.max(16, settings.machine().maxConnections() / 8));
         // Incarnations must differ between processes: a host's processes start at different times, and hosts differ.
         long seed = settings.host().hashCode() * 0x9E3779B97F4A7C15L + System.currentTimeMillis();
         AtomicReference<Controller> controllerOf = new AtomicReference<>();
--- a/src/main/java/org/landingridge/cli/UserCommands.java
+++ b/src/main/java/org/landingridge/cli/UserCommands.java
@@ -30,7 +30,7 @@
             try {
                 XnioLoop loop = new XnioLoop(worker.getIoThread());
                 CompletableFuture<Reply> answer = new CompletableFuture<>();
-                HttpClient client = new HttpClient(worker.getIoThread(), loop);
+                HttpClient client = new HttpClient(worker.getIoThread(), loop, 1);
                 loop.after(0, () -> client.call(server, method, path, body, 10_000, answer::complete));
                 Reply reply = answer.get();
                 if (reply.outcome() != Outcome.ANSWERED) {
--- a/src/main/java/org/landingridge/net/HttpClient.java
+++ b/src/main/java/org/landingridge/net/HttpClient.java
@@ -16,6 +16,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -33,6 +34,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(HttpClient.class);
     private static final int MAX_SOCKETS = 12;
     private static final int MAX_IDLE = 4;
+    /** An idle connection is closed after so long; a machine is called seldom, and there are hundreds of them. */
+    private static final long IDLE_MS = 20_000;
     private static final int MAX_ANSWER = 16 << 20;
     private final XnioIoThread thread;
     private final Loop loop;
@@ -40,14 +43,38 @@
     private final Map<String, Peer> peers = new HashMap<>();
     private final OptionMap options = OptionMap.create(Options.TCP_NODELAY, true);
 
+    /** Idle connections to all destinations, the longest idle first. */
+    private final Map<ClientConnection, Long> idleSince = new LinkedHashMap<>();
+    private final int maxIdleInAll;
+    private boolean swept;
+
     private static final class Peer {
         final Deque<ClientConnection> idle = new ArrayDeque<>();
         int sockets;
     }
 
-    public HttpClient(XnioIoThread thread, Loop loop) {
+    /** @param maxIdle idle connections to all destinations together: sockets are scarce, and workers come first */
+    public HttpClient(XnioIoThread thread, Loop loop, int maxIdle) {
         this.thread = thread;
         this.loop = loop;
+        this.maxIdleInAll = maxIdle;
+        sweep();
+    }
+
+    private void sweep() {
+        while (!idleSince.isEmpty() && (idleSince.size() > maxIdleInAll
+                || loop.now() - idleSince.values().iterator().next() > IDLE_MS)) {
+            ClientConnection longest = idleSince.keySet().iterator().next();
+            idleSince.remove(longest);
+            IoUtils.safeClose(longest);
+        }
+        if (!swept) {
+            swept = true;
+            loop.after(IDLE_MS / 4, () -> {
+                swept = false;
+                sweep();
+            });
+        }
     }
 
     @Override
@@ -79,6 +106,7 @@
             deadline = loop.after(timeoutMs, () -> finish(null));
             ClientConnection kept;
             while ((kept = peer.idle.pollLast()) != null) {
+                idleSince.remove(kept);
                 if (kept.isOpen()) {
                     send(kept);
                     return;
@@ -98,6 +126,7 @@
             made.addCloseListener(c -> {
                 peer.sockets--;
                 peer.idle.remove(c);
+                idleSince.remove(c);
             });
             if (done == null) {
                 keep(made);
@@ -225,6 +254,10 @@
                 IoUtils.safeClose(c);
             } else {
                 peer.idle.addLast(c);
+                idleSince.put(c, loop.now());
+                if (idleSince.size() > maxIdleInAll) {
+                    sweep();
+                }
             }
         }
 
--- /dev/null
+++ b/src/test/java/org/landingridge/sim/GrownTest.java
@@ -0,0 +1,98 @@
+package org.landingridge.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Histories of seven controllers and some hundreds of machines, every rule checked throughout. */
+class GrownTest {
+    private static final int SERVICES = 150;
+
+    /** A fleet of some two hundred machines with a service's replica or two on most. */
+    private static World grown(long seed) {
+        World w = new World(seed, 600, 7);
+        w.cloud.capacity = 220;
+        for (int i = 0; i < SERVICES; i++) {
+            int n = i;
+            w.at(200 + i * 100L, () -> w.submit(World.job(n, n % 2 == 0 ? "red" : "blue", true, 2, 2, 0)));
+        }
+        w.sim.run(45_000);
+        assertEquals(2 * SERVICES, w.rules.places.size(), "every replica runs before the trouble begins");
+        assertTrue(w.workers.size() >= SERVICES, w.workers.size() + " machines");
+        return w;
+    }
+
+    private static void kept(World w) {
+        assertEquals(List.of(), w.rules.broken);
+        assertEquals(0, w.state.tooLarge);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {201, 202})
+    @DisplayName("a takeover of a large fleet loses no replica, although one machine hangs and two controllers are dead")
+    void takeoverOfALargeFleet(long seed) {
+        World w = grown(seed);
+        int starts = w.rules.starts;
+        World.Node leader = w.leader();
+        World.Node other = w.nodes.get((leader.index + 1) % 7);
+        w.workers.get(3).hang(true);
+        leader.crash(30_000);
+        other.crash(30_000);
+        w.sim.run(49_000);
+        w.workers.get(3).hang(false);
+        w.sim.run(60_000);
+        assertNotNull(w.leader());
+        assertEquals(starts, w.rules.starts, "nothing was lost, so nothing was started again");
+        kept(w);
+    }
+
+    @Test
+    @DisplayName("all seven controllers crash: whoever is back first leads before the leases run out")
+    void allCrash() {
+        World w = grown(211);
+        int starts = w.rules.starts;
+        w.nodes.forEach(n -> n.crash(2_000 + 150L * n.index));
+        w.sim.run(65_000);
+        assertEquals(starts, w.rules.starts);
+        kept(w);
+    }
+
+    @Test
+    @DisplayName("a zone cut off for longer than the lease: its replicas come back in the other, none runs twice")
+    void zoneCutBeyondTheLease() {
+        World w = grown(221);
+        w.cloud.capacity = 500;
+        long until = 45_000 + 3 * World.LEASE_MS + 12_000;
+        for (long t = 45_000; t < until; t += 500) {
+            w.at(t, () -> w.workers.stream().filter(x -> x.zone().equals("a")).forEach(x ->
+                    w.nodes.forEach(n -> w.sim.cut(n.host.name, x.host.name))));
+        }
+        w.sim.run(until);
+        assertEquals(2 * SERVICES, w.rules.places.values().stream().filter(p -> p.endsWith("@b")).count(),
+                "every replica runs in the zone that is left");
+        w.sim.heal();
+        w.sim.run(120_000);
+        assertEquals(2 * SERVICES, w.rules.places.size());
+        kept(w);
+    }
+
+    @Test
+    @DisplayName("the whole deployment stays within the state service's rates, through a takeover too")
+    void statesRates() {
+        World w = grown(231);
+        w.state.mostRequests = 0;
+        w.state.mostWrites = 0;
+        w.sim.run(60_000);
+        w.leader().crash(4_000);
+        w.sim.run(90_000);
+        assertTrue(w.state.mostRequests <= 200, w.state.mostRequests + " requests in one second");
+        assertTrue(w.state.mostWrites <= 20, w.state.mostWrites + " changes in one second");
+        kept(w);
+    }
+}
--- a/src/test/java/org/landingridge/sim/StateService.java
+++ b/src/test/java/org/landingridge/sim/StateService.java
@@ -34,11 +34,25 @@
     /** Clients for which the service answers 503, while the others are served. */
     final Set<String> refused = new HashSet<>();
     int tooLarge;
+    /** The most requests, and puts and deletes, in any second. */
+    int mostRequests;
+    int mostWrites;
+    private int requests;
+    private int writes;
 
     StateService(Sim sim, Sim.Host host) {
         this.sim = sim;
         this.host = host;
         expire();
+        count();
+    }
+
+    private void count() {
+        mostRequests = Math.max(mostRequests, requests);
+        mostWrites = Math.max(mostWrites, writes);
+        requests = 0;
+        writes = 0;
+        host.after(1_000, this::count);
     }
 
     JsonNode value(String key) {
@@ -137,6 +151,7 @@
 
     @Override
     public void serve(Exchange x) {
+        requests++;
         if (outage) {
             x.answer(503, new byte[0]);
             return;
@@ -223,6 +238,7 @@
     }
 
     private void commit(JsonNode body, Exchange x) {
+        writes += body.path("writes").size();
         ArrayNode failed = Json.array();
         for (JsonNode g : body.path("guards")) {
             Entry e = keys.get(g.get("key").textValue());
--- a/src/test/java/org/landingridge/sim/Worker.java
+++ b/src/test/java/org/landingridge/sim/Worker.java
@@ -45,7 +45,7 @@
         this.addr = "w-" + box.id;
         this.host = world.sim.host(box.id);
         this.renewed = world.sim.now;
-        this.node = world.sim.random.nextInt(3);
+        this.node = world.sim.random.nextInt(world.nodes.size());
         world.sim.listen(addr, host, this);
         world.workers.add(this);
         tick();
@@ -57,6 +57,10 @@
         world.workers.remove(this);
     }
 
+    String zone() {
+        return box.zone;
+    }
+
     /** A task that runs here, or null. */
     String running() {
         return tasks.entrySet().stream().filter(e -> e.getValue().status.equals("running"))
@@ -163,7 +167,7 @@
     }
 
     private void next() {
-        node = (node + 1) % 3;
+        node = (node + 1) % world.nodes.size();
         lastReport = world.sim.now;
         host.after(1_000, () -> lastReport = -10_000);
     }
--- a/src/test/java/org/landingridge/sim/World.java
+++ b/src/test/java/org/landingridge/sim/World.java
@@ -14,7 +14,7 @@
 import org.landingridge.wire.Json;
 import org.landingridge.wire.Priority;
 
-/** Three controllers among stand-ins for state service, cloud, workers and users. */
+/** Some controllers among stand-ins for state service, cloud, workers and users. */
 final class World {
     static final long REPORT_MS = 1_000;
     static final long LEASE_MS = 8_000;
@@ -46,7 +46,7 @@
         void boot() {
             host.up = true;
             List<Settings.Peer> peers = new ArrayList<>();
-            for (int i = 0; i < 3; i++) {
+            for (int i = 0; i < controllers; i++) {
                 if (i != index) {
                     peers.add(new Settings.Peer("rig-" + i, "a", "10.0.0." + i + ":1"));
                 }
@@ -81,8 +81,14 @@
     }
 
     private final Sim.Host stateHost;
+    private final int controllers;
 
     World(long seed, double teamLimit) {
+        this(seed, teamLimit, 3);
+    }
+
+    World(long seed, double teamLimit, int controllers) {
+        this.controllers = controllers;
         sim = new Sim(seed);
         rules = new Rules(sim, CANCEL_MS);
         teams.put("red", new Settings.Team("red", 8, teamLimit, 0, 0));
@@ -94,7 +100,7 @@
         Sim.Host cloudHost = sim.host("cloud");
         cloud = new Cloud(sim, cloudHost, this);
         sim.listen("cloud", cloudHost, cloud);
-        for (int i = 0; i < 3; i++) {
+        for (int i = 0; i < controllers; i++) {
             nodes.add(new Node(i));
         }
         everySecond();
@@ -141,7 +147,7 @@
     }
 
     private void ask(String id, String what, String method, String path, byte[] body, int tries) {
-        int node = sim.random.nextInt(3);
+        int node = sim.random.nextInt(controllers);
         sim.client(users).call(nodeAddr(node), method, path, body, 5_000, reply -> {
             boolean settled = false;
             if (reply.outcome() == org.landingridge.net.Http.Outcome.ANSWERED) {
