--- a/src/main/java/org/landingridge/sched/Group.java
+++ b/src/main/java/org/landingridge/sched/Group.java
@@ -24,8 +24,6 @@
      * equals the first come is served first.
      */
     public int missed;
-    /** True if the machines there, being many, are sure to finish the job in time: none is rented for it. */
-    boolean served;
     /** How soon a task should run, in seconds; 0 where nothing is expected. */
     public double startWithinS;
     /** Tasks of the job on machines, by zone, for oneZone and spread. */
--- a/src/main/java/org/landingridge/sched/Scheduler.java
+++ b/src/main/java/org/landingridge/sched/Scheduler.java
@@ -25,8 +25,6 @@
     public record Spare(JobSpec like, int tasks) {}
 
     private static final double ROUND_MARGIN = 1.3;
-    /** How far a forecast may err, for one place; many places err less. */
-    private static final double DOUBT = 8;
     /** Machines of one request to the cloud; the next round asks for more. */
     private static final int MAX_RENT = 50;
 
@@ -136,8 +134,6 @@
                     work -= work(out);
                     out.missed = chance + 1;
                 }
-                double places = Math.max(1, processors / g.spec.cpus());
-                g.served = g.missed == 0 && work * seconds * (1 + DOUBT / Math.sqrt(places)) < left / 2;
             }
         }
     }
@@ -359,7 +355,7 @@
             }
         }
         Map<String, Integer> wanted = new LinkedHashMap<>();
-        unplaced.forEach((g, count) -> pack(g, g.served ? 0 : slots(g, count), coming, wanted));
+        unplaced.forEach((g, count) -> pack(g, slots(g, count), coming, wanted));
         if (in.spare != null && in.spare.like != null) {
             Group room = new Group(in.spare.like, null, Long.MAX_VALUE, 0, 0);
             int missing = in.spare.tasks;
