Tasks take memory only once something happens to them; names that stand twice in the settings are refused

An array of 100,000 tasks took 4.4 MB of the leader's heap; a dozen would have ended it. Tests: the largest arrays, many at once; a pass costs what the fleet is, not what waits; a report without news costs no pass.

--- a/src/main/java/org/landingridge/config/Settings.java
+++ b/src/main/java/org/landingridge/config/Settings.java
@@ -9,9 +9,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.landingridge.wire.Json;
 
 /** The file that the platform hands over. Unknown fields are ignored, known ones are checked. */
@@ -53,20 +56,28 @@
     private record Reader(String file) {
         Settings settings(JsonNode root) throws BadSettings {
             List<Peer> peers = new ArrayList<>();
+            Set<String> hosts = new HashSet<>(Set.of(text(root, "", "host_name")));
             for (JsonNode p : list(root, "known")) {
                 String addr = text(p, "known.", "endpoint");
                 address(addr, "known.endpoint");
+                once(hosts, text(p, "known.", "host_name"), "known.host_name");
                 peers.add(new Peer(text(p, "known.", "host_name"), p.path("zone").asText(""), addr));
             }
             JsonNode cluster = table(root, "", "cluster");
             JsonNode external = table(root, "", "external");
             List<String> zones = new ArrayList<>();
             for (JsonNode z : list(cluster, "zones")) {
-                zones.add(z.asText());
+                if (!z.isTextual() || z.textValue().isBlank()) {
+                    throw wrong("cluster.zones", "names of zones");
+                }
+                once(zones, z.textValue(), "cluster.zones");
             }
             Map<String, Team> teams = new LinkedHashMap<>();
             for (JsonNode t : list(cluster, "teams")) {
                 String name = text(t, "cluster.teams.", "name");
+                if (teams.containsKey(name)) {
+                    throw wrong("cluster.teams.name", "each team once, but " + name + " stands twice");
+                }
                 teams.put(name, new Team(name, number(t, "cluster.teams.", "cpus", 0),
                         number(t, "cluster.teams.", "cpus_max", 0), number(t, "cluster.teams.", "gpus", 0),
                         number(t, "cluster.teams.", "gpus_max", 0)));
@@ -106,6 +117,13 @@
                     machine);
         }
 
+        private void once(Collection<String> names, String name, String field) throws BadSettings {
+            if (names.contains(name)) {
+                throw wrong(field, "each name once, but " + name + " stands twice");
+            }
+            names.add(name);
+        }
+
         private BadSettings wrong(String field, String expected) {
             return new BadSettings(file + ": field " + field + ": expected " + expected);
         }
--- a/src/main/java/org/landingridge/fleet/Fleet.java
+++ b/src/main/java/org/landingridge/fleet/Fleet.java
@@ -141,7 +141,7 @@
             return job.count(Task.State.PENDING);
         }
         int n = 0;
-        for (Task t : job.tasks()) {
+        for (Task t : job.touched()) {
             n += placeable(t) ? 1 : 0;
         }
         return n;
@@ -198,12 +198,12 @@
 
     /** The job's next waiting task that may be placed, or null. */
     public Task nextPlaceable(LiveJob job) {
-        Task[] tasks = job.tasks();
-        for (int tried = 0; tried < tasks.length; tried++) {
-            Task t = tasks[job.next];
-            job.next = (job.next + 1) % tasks.length;
-            if (placeable(t)) {
-                return t;
+        boolean clear = job.own || census == 0;
+        for (int tried = 0; tried < job.size(); tried++) {
+            int index = job.next;
+            job.next = (index + 1) % job.size();
+            if (job.untouched(index) ? clear : placeable(job.task(index))) {
+                return job.task(index);
             }
         }
         return null;
--- a/src/main/java/org/landingridge/fleet/LiveJob.java
+++ b/src/main/java/org/landingridge/fleet/LiveJob.java
@@ -1,6 +1,9 @@
 package org.landingridge.fleet;
 
+import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.List;
+import org.agrona.collections.Int2ObjectHashMap;
 import org.landingridge.jobs.Job;
 import org.landingridge.wire.JobSpec;
 
@@ -8,7 +11,11 @@
 public final class LiveJob {
     private final Job job;
     private final JobSpec spec;
-    private final Task[] tasks;
+    /**
+     * Tasks that something has happened to. The others wait or are stored as done, and take no memory: the largest
+     * arrays have 100,000, of which few are on machines at a time.
+     */
+    private final Int2ObjectHashMap<Task> touched = new Int2ObjectHashMap<>();
     private final int[] counts = new int[Task.State.values().length];
     /** Accepted after the leader was elected, so no earlier leader can have started any of its tasks. */
     final boolean own;
@@ -24,15 +31,9 @@
         this.spec = job.spec();
         this.own = own;
         this.since = now;
-        this.tasks = new Task[job.tasks()];
-        counts[Task.State.PENDING.ordinal()] = tasks.length;
-        BitSet done = job.done();
-        for (int i = 0; i < tasks.length; i++) {
-            tasks[i] = new Task(this, i, now);
-            if (done != null && done.get(i)) {
-                tasks[i].to(Task.State.DONE, null, now);
-            }
-        }
+        int done = job.done() == null ? 0 : job.done().cardinality();
+        counts[Task.State.PENDING.ordinal()] = job.tasks() - done;
+        counts[Task.State.DONE.ordinal()] = done;
     }
 
     public String id() {
@@ -47,12 +48,37 @@
         return spec;
     }
 
+    /** Number of tasks. */
+    public int size() {
+        return job.tasks();
+    }
+
+    /** The task of this number, or null where the job has none. */
     public Task task(int index) {
-        return index >= 0 && index < tasks.length ? tasks[index] : null;
+        if (index < 0 || index >= size()) {
+            return null;
+        }
+        Task t = touched.get(index);
+        if (t == null) {
+            t = new Task(this, index, done(index) ? Task.State.DONE : Task.State.PENDING, since);
+            touched.put(index, t);
+        }
+        return t;
     }
 
-    public Task[] tasks() {
-        return tasks;
+    /** True if nothing has happened to the task yet, and it is not done. */
+    boolean untouched(int index) {
+        return !done(index) && !touched.containsKey(index);
+    }
+
+    /** The tasks that something has happened to. */
+    public List<Task> touched() {
+        return new ArrayList<>(touched.values());
+    }
+
+    private boolean done(int index) {
+        BitSet done = job.done();
+        return done != null && done.get(index);
     }
 
     public int count(Task.State state) {
@@ -63,8 +89,11 @@
         return notBefore;
     }
 
-    void moved(Task.State from, Task.State to) {
+    void moved(Task task, Task.State from, Task.State to) {
         counts[from.ordinal()]--;
         counts[to.ordinal()]++;
+        if (to == Task.State.DONE && done(task.index)) {
+            touched.remove(task.index);
+        }
     }
 }
--- a/src/main/java/org/landingridge/fleet/Task.java
+++ b/src/main/java/org/landingridge/fleet/Task.java
@@ -10,16 +10,17 @@
 
     final LiveJob job;
     final int index;
-    private State state = State.PENDING;
+    private State state;
     private Attempt attempt;
     /** Seen by this leader on a machine that no earlier leader can command any more: so it is nowhere else. */
     boolean accounted;
     /** Loop time when the task last became pending. */
     long pendingSince;
 
-    Task(LiveJob job, int index, long now) {
+    Task(LiveJob job, int index, State state, long now) {
         this.job = job;
         this.index = index;
+        this.state = state;
         this.pendingSince = now;
     }
 
@@ -50,7 +51,7 @@
         if (!legal) {
             throw new IllegalStateException(job.id() + "/" + index + ": " + state + " -> " + next);
         }
-        job.moved(state, next);
+        job.moved(this, state, next);
         state = next;
         attempt = next == State.ON_MACHINE ? by : null;
         if (next == State.PENDING) {
--- a/src/main/java/org/landingridge/jobs/Progress.java
+++ b/src/main/java/org/landingridge/jobs/Progress.java
@@ -78,14 +78,14 @@
     public void finished(Task task) {
         LiveJob job = task.job();
         int over = job.count(Task.State.FINISHED) + job.count(Task.State.DONE);
-        if (over == job.tasks().length) {
+        if (over == job.size()) {
             writer.mark(new End(job));
             return;
         }
         String chunk = job.id() + '#' + task.index() / CHUNK;
         Page page = pageOf.get(chunk);
         if (page == null) {
-            int size = size(job.id(), job.tasks().length);
+            int size = size(job.id(), job.size());
             page = pages.stream().filter(p -> p.bytes + size < pageBytes).findFirst().orElse(null);
             if (page == null) {
                 int n = 0;
@@ -106,11 +106,11 @@
 
     /** The job is over: its bits are of no use any more, and go with the page's next write. */
     public void ended(LiveJob job) {
-        for (int c = 0; c <= job.tasks().length / CHUNK; c++) {
+        for (int c = 0; c <= job.size() / CHUNK; c++) {
             Page page = pageOf.remove(job.id() + '#' + c);
             if (page != null) {
                 page.chunks.remove(job.id() + '#' + c);
-                page.bytes -= size(job.id(), job.tasks().length);
+                page.bytes -= size(job.id(), job.size());
             }
         }
     }
@@ -188,7 +188,7 @@
 
         @Override
         public void stored(long revision) {
-            for (Task t : job.tasks()) {
+            for (Task t : job.touched()) {
                 events.stored(t);
             }
             events.done(job.job(), revision);
--- a/src/main/java/org/landingridge/obs/Busy.java
+++ b/src/main/java/org/landingridge/obs/Busy.java
@@ -14,7 +14,8 @@
     private final LongSupplier clock;
     private final long[] nanos = new long[Part.values().length];
     private final long[] times = new long[Part.values().length];
-    private final long[] before = new long[Part.values().length];
+    private final long[] nanosBefore = new long[Part.values().length];
+    private final long[] timesBefore = new long[Part.values().length];
     private long inner;
 
     /** @param clock nanoseconds of the steady clock */
@@ -40,6 +41,10 @@
         return nanos[part.ordinal()] / 1e6;
     }
 
+    public long times(Part part) {
+        return times[part.ordinal()];
+    }
+
     /** Logs what has been added since the last call. */
     public void log() {
         if (!LOG.isDebugEnabled()) {
@@ -47,11 +52,12 @@
         }
         StringBuilder line = new StringBuilder("busy ms:");
         for (Part p : Part.values()) {
-            long added = nanos[p.ordinal()] - before[p.ordinal()];
-            before[p.ordinal()] = nanos[p.ordinal()];
-            line.append(' ').append(p.name().toLowerCase(Locale.ROOT)).append(' ').append(added / 1_000_000)
-                    .append(" (").append(times[p.ordinal()]).append(')');
-            times[p.ordinal()] = 0;
+            int i = p.ordinal();
+            line.append(' ').append(p.name().toLowerCase(Locale.ROOT)).append(' ')
+                    .append((nanos[i] - nanosBefore[i]) / 1_000_000).append(" (").append(times[i] - timesBefore[i])
+                    .append(')');
+            nanosBefore[i] = nanos[i];
+            timesBefore[i] = times[i];
         }
         LOG.debug(line.toString());
     }
--- a/src/main/java/org/landingridge/obs/Metrics.java
+++ b/src/main/java/org/landingridge/obs/Metrics.java
@@ -25,9 +25,11 @@
     public Metrics(LongSupplier nanos) {
         busy = new Busy(nanos);
         for (Busy.Part part : Busy.Part.values()) {
-            FunctionCounter.builder("landingridge.busy.ms." + part.name().toLowerCase(Locale.ROOT), busy,
-                    b -> b.milliseconds(part)).description("time of the core's thread on this part")
-                    .register(registry);
+            String name = part.name().toLowerCase(Locale.ROOT);
+            FunctionCounter.builder("landingridge.busy.ms." + name, busy, b -> b.milliseconds(part))
+                    .description("time of the core's thread on this part").register(registry);
+            FunctionCounter.builder("landingridge.busy.times." + name, busy, b -> b.times(part))
+                    .description("how often the core's thread worked on this part").register(registry);
         }
     }
 
--- a/src/main/java/org/landingridge/sched/Scheduler.java
+++ b/src/main/java/org/landingridge/sched/Scheduler.java
@@ -195,6 +195,7 @@
     /** The nodes on which a task of the group fits now, best first. */
     private PriorityQueue<Candidate> fitting(Group g) {
         roomy.removeIf(n -> !n.roomy());
+        plan.steps += roomy.size();
         PriorityQueue<Candidate> all = new PriorityQueue<>();
         for (int i = 0; i < roomy.size(); i++) {
             Node n = roomy.get(i);
@@ -256,6 +257,7 @@
     }
 
     private Node soon(Group g, boolean onlyTimely) {
+        plan.steps += in.nodes.size();
         for (Node n : in.nodes) {
             if (n.up && n.fitsSoon(g.spec) && !n.fits(g.spec) && n.allows(g) && (!onlyTimely || timely(g, n))) {
                 return n;
@@ -266,6 +268,7 @@
 
     /** Stops work of lower priority, or work beyond another team's guarantee, where that makes room. */
     private Node preempt(Group g, boolean guaranteed, boolean onlyTimely) {
+        plan.steps += in.nodes.size();
         Node best = null;
         List<Node.Running> bestVictims = null;
         double bestCost = Double.MAX_VALUE;
@@ -416,7 +419,9 @@
     private void pack(Group g, int tasks, List<Node> coming, Map<String, Integer> wanted) {
         int at = 0;
         for (int left = tasks; left > 0; left--) {
+            plan.steps++;
             while (at < coming.size() && !(coming.get(at).fits(g.spec) && coming.get(at).allows(g))) {
+                plan.steps++;
                 at++;
             }
             if (at == coming.size()) {
--- a/src/test/java/org/landingridge/config/SettingsTest.java
+++ b/src/test/java/org/landingridge/config/SettingsTest.java
@@ -70,6 +70,16 @@
         assertEquals(1, e.getMessage().lines().count());
     }
 
+    @ParameterizedTest
+    @CsvSource({"'host_name = \"rig-1\"','host_name = \"rig-0\"',known.host_name",
+        "'name = \"red\"','name = \"red\"\n[[cluster.teams]]\nname = \"red\"',cluster.teams.name",
+        "'[cluster]','[cluster]\nzones = [\"a\", \"b\", \"a\"]',cluster.zones"})
+    void whatStandsTwiceIsNamed(String from, String to, String field) throws IOException {
+        Path file = file(GOOD.replaceFirst(java.util.regex.Pattern.quote(from), to.replace("\\n", "\n")));
+        BadSettings e = assertThrows(BadSettings.class, () -> Settings.read(file));
+        assertTrue(e.getMessage().contains(field) && e.getMessage().contains("twice"), e.getMessage());
+    }
+
     @Test
     void operatorsSettingsAreCheckedAgainstTheSchema() throws Exception {
         assertEquals(12, Policy.read(file("{\"idleS\": 12}")).idleS());
--- a/src/test/java/org/landingridge/sched/SchedulerTest.java
+++ b/src/test/java/org/landingridge/sched/SchedulerTest.java
@@ -197,4 +197,33 @@
         assertEquals(1, plan.stops.size(), "twelve processors in use, eight guaranteed: four are borrowed");
         assertEquals(1, plan.unplaced);
     }
+
+    /** Looks at nodes in a pass over a full fleet, with this many tasks waiting in each of ten jobs. */
+    private static long steps(int machines, int tasks) {
+        List<Node> nodes = new ArrayList<>();
+        for (int i = 0; i < machines; i++) {
+            Node n = new Node(T4, "a", false, "m" + i, true, Set.of());
+            if (i % 10 > 0) {
+                n.add(new Node.Running(spec(900, false, Priority.NORMAL, 1, 4, false, false, false), 0, i, 0, false));
+            }
+            nodes.add(n);
+        }
+        List<Group> groups = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            groups.add(new Group(spec(i, false, Priority.NORMAL, tasks, 4, true, false, false), "j" + i, i, 0, tasks));
+        }
+        Plan plan = Scheduler.plan(new Scheduler.Input(0, nodes, groups, List.of(new Team(0, 0, 0, 0)), List.of(T4),
+                new HashMap<>(), null, 60_000));
+        assertEquals(Math.min(10 * tasks, machines / 10), plan.placements.size());
+        assertTrue(plan.rents.stream().allMatch(r -> r.count() <= 50), "a request asks for 50 machines at most");
+        return plan.steps;
+    }
+
+    @Test
+    void aPassCostsWhatTheFleetIsNotWhatWaits() {
+        long few = steps(500, 100);
+        assertTrue(few < 25_000, few + " steps for 1,000 waiting tasks");
+        long many = steps(500, 100_000);
+        assertTrue(many <= 1.2 * few, many + " steps for a thousand times as many, " + few + " before");
+    }
 }
--- a/src/test/java/org/landingridge/sim/GrownTest.java
+++ b/src/test/java/org/landingridge/sim/GrownTest.java
@@ -95,4 +95,49 @@
         assertTrue(w.state.mostWrites <= 20, w.state.mostWrites + " changes in one second");
         kept(w);
     }
+
+    /** Passes of the scheduler in half a minute in which nothing happens, with this many services of one replica. */
+    private static int passes(int services) {
+        World w = new World(241, 0, 3);
+        w.cloud.capacity = services;
+        for (int i = 0; i < services; i++) {
+            int n = i;
+            w.at(200 + i * 100L, () -> w.submit(World.job(n, "blue", true, 1, 4, 0)));
+        }
+        w.sim.run(60_000);
+        assertEquals(services, w.rules.places.size());
+        int before = w.metric(w.leader(), "landingridge_busy_times_pass");
+        w.sim.run(90_000);
+        return w.metric(w.leader(), "landingridge_busy_times_pass") - before;
+    }
+
+    @Test
+    @DisplayName("a report that says nothing new costs no pass over the fleet, however many machines report")
+    void reportsWithoutNews() {
+        int few = passes(15);
+        assertTrue(few > 0 && passes(150) <= few + 5, few + " passes with a tenth of the machines");
+    }
+
+    /** Megabytes that are reachable. */
+    private static long used() {
+        System.gc();
+        return (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) >> 20;
+    }
+
+    @Test
+    @DisplayName("arrays of the largest size, many at once, take little memory and leave the others served")
+    void largestArrays() {
+        World w = new World(251, 0, 3);
+        long before = used();
+        for (int i = 0; i < 20; i++) {
+            w.submit(World.job(100 + i, "red", false, 100_000, 4, 5));
+        }
+        w.submit(World.job(1, "blue", true, 2, 1, 0));
+        w.submit(World.job(2, "blue", false, 3, 1, 2));
+        w.sim.run(60_000);
+        long more = used() - before;
+        assertTrue(more < 20, more + " MB more with 2,000,000 tasks");
+        assertTrue(w.running("job-000001", 2));
+        kept(w);
+    }
 }
--- a/src/test/java/org/landingridge/sim/World.java
+++ b/src/test/java/org/landingridge/sim/World.java
@@ -167,6 +167,34 @@
         });
     }
 
+    /** A counter of a controller, as it serves it. */
+    int metric(Node node, String name) {
+        String[] text = new String[1];
+        node.controller.serve(new org.landingridge.net.Http.Exchange() {
+            @Override
+            public String method() {
+                return "GET";
+            }
+
+            @Override
+            public String path() {
+                return "/metrics";
+            }
+
+            @Override
+            public byte[] body() {
+                return new byte[0];
+            }
+
+            @Override
+            public void answer(int status, byte[] body, int retryAfterS) {
+                text[0] = new String(body, java.nio.charset.StandardCharsets.UTF_8);
+            }
+        });
+        return text[0].lines().filter(l -> l.startsWith(name + " ")).mapToInt(l ->
+                Integer.parseInt(l.substring(name.length() + 1))).findFirst().orElseThrow();
+    }
+
     void at(long ms, Runnable what) {
         users.after(ms - sim.now, what);
     }
