A new leader knows which images the machines have

The roster's pages now carry them as a hint, one digit an image, written when a page is written anyway. Where a fetch can't be avoided, machines that fetch nothing else go first.

--- a/src/main/java/org/landingridge/Reign.java
+++ b/src/main/java/org/landingridge/Reign.java
@@ -330,6 +330,9 @@
                 if (!a.live()) {
                     continue;
                 }
+                if (a.state() == Attempt.State.SENT || a.state() == Attempt.State.FETCHING) {
+                    node.fetching++;
+                }
                 int team = a.spec() == null ? 0 : teamIndex.getOrDefault(a.spec().team(), 0);
                 node.add(new Node.Running(a.spec(), team, a, a.since(), a.stopWanted()));
                 if (a.spec() != null) {
--- a/src/main/java/org/landingridge/fleet/Roster.java
+++ b/src/main/java/org/landingridge/fleet/Roster.java
@@ -15,9 +15,16 @@
 /**
  * The written roster: every machine, many to one stored value. A row with an address is of a machine that may hold
  * tasks; one without has not reported yet, or its lease has run out, and a later leader need not wait for it.
+ *
+ * <p>Beside them stands which images the machines have, as far as was known when the page was last written: a later
+ * leader starts services where their image is. That is a hint, and no page is written for it alone.
  */
 public final class Roster {
     public static final String PREFIX = "fleet/";
+    /** The row of a page that names images; in the others each stands as one digit. */
+    private static final String IMAGES = "images";
+    private static final int MAX_IMAGES = 36;
+    private static final int MAX_IMAGE_NAME = 24;
     private final String root;
     private final GroupWriter writer;
     private final Fleet fleet;
@@ -29,19 +36,28 @@
         this.root = root;
         this.writer = writer;
         this.fleet = fleet;
-        this.perPage = (int) Math.max(4, valueKb * 1024 * 0.8 / 110);
+        // Names of images are short enough to leave room for the machines; a page's rows are counted at their longest.
+        this.perPage = (int) Math.max(4, (valueKb * 1024 * 0.9 - MAX_IMAGES * (MAX_IMAGE_NAME + 3)) / 110);
     }
 
     /** Takes over a page as it stands in the state service. */
     public void takeOver(String key, JsonNode value) {
         Page page = new Page(key);
         pages.add(page);
-        value.fields().forEachRemaining(e -> {
+        JsonNode images = value.path(IMAGES);
+        value.properties().forEach(e -> {
+            if (e.getKey().equals(IMAGES)) {
+                return;
+            }
             JsonNode row = e.getValue();
             page.ids.put(e.getKey(), Boolean.TRUE);
             pageOf.put(e.getKey(), page);
             fleet.fromRoster(e.getKey(), row.path(0).isTextual() ? row.path(0).textValue() : null,
                     row.path(1).asText(), row.path(2).asText(), row.path(3).asInt() == 1);
+            Machine m = fleet.machine(e.getKey());
+            for (char digit : row.path(4).asText().toCharArray()) {
+                m.used(Json.text(images, Character.digit(digit, MAX_IMAGES)));
+            }
         });
     }
 
@@ -94,20 +110,38 @@
         public JsonNode render() {
             holding = new ArrayList<>();
             ObjectNode n = Json.object();
+            Map<String, Integer> images = new LinkedHashMap<>();
             for (String id : ids.keySet()) {
                 Machine m = fleet.machine(id);
                 if (m != null) {
                     ArrayNode row = n.putArray(id);
                     boolean holds = m.mayHold() || m.inCensus;
-                    row.add(holds ? m.addr : null).add(m.type).add(m.zone).add(m.spot ? 1 : 0);
+                    row.add(holds ? m.addr : null).add(m.type).add(m.zone).add(m.spot ? 1 : 0).add(digits(m, images));
                     if (holds) {
                         holding.add(id);
                     }
                 }
             }
+            ArrayNode names = n.putArray(IMAGES);
+            images.keySet().forEach(names::add);
             return n;
         }
 
+        private static String digits(Machine m, Map<String, Integer> images) {
+            StringBuilder digits = new StringBuilder();
+            for (String image : m.images) {
+                Integer index = images.get(image);
+                if (index == null && images.size() < MAX_IMAGES && image.length() <= MAX_IMAGE_NAME) {
+                    index = images.size();
+                    images.put(image, index);
+                }
+                if (index != null) {
+                    digits.append(Character.forDigit(index, MAX_IMAGES));
+                }
+            }
+            return digits.toString();
+        }
+
         @Override
         public void stored(long revision) {
             for (String id : holding) {
--- a/src/main/java/org/landingridge/sched/Node.java
+++ b/src/main/java/org/landingridge/sched/Node.java
@@ -37,6 +37,8 @@
     public final Set<String> images;
     public final List<Running> running = new ArrayList<>();
     public long idleMs;
+    /** Tasks that wait for their image there: fetches share the machine's rate. */
+    public int fetching;
     double cpus;
     double gpus;
     double memory;
--- a/src/main/java/org/landingridge/sched/Scheduler.java
+++ b/src/main/java/org/landingridge/sched/Scheduler.java
@@ -219,7 +219,7 @@
     private static double score(Group g, Node n) {
         double score = n.cpus / n.type.cpus() + (n.spot || !g.spec.spot() ? 0 : 2);
         if (g.spec.image() != null && !n.images.contains(g.spec.image())) {
-            score += g.spec.service() ? 4 : 0.5;
+            score += g.spec.service() ? 4 + n.fetching : 0.5;
         }
         if (g.spec.service()) {
             // Replicas spread: one machine's loss should hurt little.
--- a/src/main/java/org/landingridge/wire/Json.java
+++ b/src/main/java/org/landingridge/wire/Json.java
@@ -139,6 +139,12 @@
         return value != null && value.isTextual() ? value.textValue() : null;
     }
 
+    /** The text at an index of a list, or null. */
+    public static String text(JsonNode list, int index) {
+        JsonNode value = list.get(index);
+        return value != null && value.isTextual() ? value.textValue() : null;
+    }
+
     public static long integer(JsonNode node, String field, long otherwise) {
         JsonNode value = node.get(field);
         return value != null && value.isIntegralNumber() && value.canConvertToLong() ? value.longValue() : otherwise;
--- a/src/test/java/org/landingridge/sim/HistoriesTest.java
+++ b/src/test/java/org/landingridge/sim/HistoriesTest.java
@@ -275,6 +275,29 @@
         kept(w);
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {83, 84, 85})
+    @DisplayName("a new leader starts a service where its image is, although nothing with that image runs there")
+    void imagesAreKnownAfterATakeover(long seed) {
+        World w = new World(seed, 0);
+        for (int i = 1; i <= 6; i++) {
+            int n = i;
+            w.at(100 + i * 10, () -> w.submit(World.job(n, "blue", true, 1, 4, 0)));
+        }
+        w.at(15_000, () -> w.submit(World.job(9, "blue", true, 1, 4, 0)));
+        w.at(24_000, () -> w.cancel("job-000001"));
+        w.at(24_000, () -> w.cancel("job-000002"));
+        w.at(25_000, () -> w.leader().crash(30_000));
+        w.sim.run(31_000);
+        int images = w.workers.stream().mapToInt(Worker::images).sum();
+        w.submit(World.job(10, "blue", true, 1, 4, 0));
+        w.submit(World.job(11, "blue", true, 1, 4, 0));
+        w.sim.run(40_000);
+        assertTrue(w.running("job-000010", 1) && w.running("job-000011", 1));
+        assertEquals(images, w.workers.stream().mapToInt(Worker::images).sum(), "no image was fetched again");
+        kept(w);
+    }
+
     @Test
     void idleMachinesGoBack() {
         World w = new World(81, 0);
--- a/src/test/java/org/landingridge/sim/Worker.java
+++ b/src/test/java/org/landingridge/sim/Worker.java
@@ -57,6 +57,10 @@
         world.workers.remove(this);
     }
 
+    int images() {
+        return images.size();
+    }
+
     String zone() {
         return box.zone;
     }
