--- a/src/test/java/org/landingridge/sim/GrownTest.java
+++ b/src/test/java/org/landingridge/sim/GrownTest.java
@@ -96,6 +96,39 @@
         kept(w);
     }
 
+    @Test
+    @DisplayName("far more submissions than can be written: refused at once, accepted in the end, and the leader stays")
+    void moreSubmissionsThanTheStateServiceTakes() {
+        World w = new World(261, 0, 7);
+        w.cloud.capacity = 150;
+        for (int i = 0; i < 40; i++) {
+            int n = i;
+            w.at(200 + i * 200L, () -> w.submit(World.job(n, "blue", true, 1, 2, 0)));
+        }
+        w.sim.run(30_000);
+        int starts = w.rules.starts;
+        World.Node leader = w.leader();
+        int takeovers = w.metric(leader, "landingridge_takeovers");
+        // The settings say 200 requests and 20 changes a second: 240 jobs at once are twelve seconds' worth of changes.
+        w.state.rps = 200;
+        w.state.writeRps = 20;
+        for (int i = 100; i < 340; i++) {
+            w.submit(World.job(i, "red", false, 1, 0.5, 2));
+        }
+        w.sim.run(32_000);
+        assertTrue(w.rules.told.size() < 240, "not all can be accepted at once");
+        int refused = w.nodes.stream().mapToInt(n -> w.metric(n, "landingridge_refused")).sum();
+        assertTrue(refused > 100, refused + " refused, with the time to come back, and none held back");
+        w.sim.run(150_000);
+        assertTrue(w.state.tooMany > 0);
+        assertEquals(240, w.over("done"), "every job is accepted in the end, and runs");
+        assertEquals(leader, w.leader());
+        assertEquals(takeovers, w.metric(leader, "landingridge_takeovers"), "the lead was kept throughout");
+        assertEquals(0, w.metric(leader, "landingridge_lost"), "no lease ran out for it");
+        assertTrue(w.rules.starts >= starts + 240);
+        kept(w);
+    }
+
     /** Passes of the scheduler in half a minute in which nothing happens, with this many services of one replica. */
     private static int passes(int services) {
         World w = new World(241, 0, 3);
--- a/src/test/java/org/landingridge/sim/StateService.java
+++ b/src/test/java/org/landingridge/sim/StateService.java
@@ -39,6 +39,13 @@
     int mostWrites;
     private int requests;
     private int writes;
+    /** Requests, and puts and deletes, a second; 0 for no limit. Beyond them, and a second's worth of burst: 429. */
+    double rps;
+    double writeRps;
+    int tooMany;
+    private double requestsLeft;
+    private double writesLeft;
+    private long refilled;
 
     StateService(Sim sim, Sim.Host host) {
         this.sim = sim;
@@ -152,6 +159,11 @@
     @Override
     public void serve(Exchange x) {
         requests++;
+        if (!within(x)) {
+            tooMany++;
+            x.answer(429, new byte[0]);
+            return;
+        }
         if (outage) {
             x.answer(503, new byte[0]);
             return;
@@ -217,6 +229,24 @@
         }
     }
 
+    /** True if the rates allow the request; its changes count whether its conditions hold or not. */
+    private boolean within(Exchange x) {
+        if (rps <= 0) {
+            return true;
+        }
+        double passed = (sim.now - refilled) / 1000.0;
+        refilled = sim.now;
+        requestsLeft = Math.min(rps, requestsLeft + passed * rps);
+        writesLeft = Math.min(writeRps, writesLeft + passed * writeRps);
+        int changes = x.path().equals("/commit") ? Json.parse(x.body()).path("writes").size() : 0;
+        if (requestsLeft < 1 || writesLeft < changes) {
+            return false;
+        }
+        requestsLeft--;
+        writesLeft -= changes;
+        return true;
+    }
+
     private void list(Map<String, String> query, Exchange x) {
         ObjectNode n = Json.object();
         ArrayNode entries = n.putArray("entries");
