--- a/src/main/java/org/landingridge/config/Policy.java
+++ b/src/main/java/org/landingridge/config/Policy.java
@@ -26,7 +26,7 @@
 public record Policy(double leaderHoldS, double bootMarginS, double idleS, double tightIdleS,
         double spareShare, double queryLimitS) {
 
-    public static final Policy DEFAULT = new Policy(3.0, 20.0, 25.0, 600.0, 0.15, 60.0);
+    public static final Policy DEFAULT = new Policy(3.0, 20.0, 45.0, 600.0, 0.15, 60.0);
 
     public static Policy read(Path file) throws BadSettings {
         String text;
