--- a/src/main/java/org/landingridge/cli/UserCommands.java
+++ b/cli/src/main/java/org/landingridge/cli/UserCommands.java
@@ -1,5 +1,4 @@
 package org.landingridge.cli;
-
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -26,7 +25,7 @@
         private String server;
 
         int ask(String method, String path, byte[] body) throws IOException, InterruptedException {
-            XnioWorker worker = RunCommand.worker();
+            XnioWorker worker = XnioLoop.worker();
             try {
                 XnioLoop loop = new XnioLoop(worker.getIoThread());
                 CompletableFuture<Reply> answer = new CompletableFuture<>();
--- a/src/main/java/org/landingridge/Controller.java
+++ b/controller/src/main/java/org/landingridge/controller/Controller.java
@@ -1,5 +1,4 @@
-package org.landingridge;
-
+package org.landingridge.controller;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
@@ -11,25 +10,28 @@
 import java.util.Objects;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
-import org.landingridge.config.Policy;
-import org.landingridge.config.Settings;
-import org.landingridge.jobs.Job;
-import org.landingridge.jobs.JobService;
-import org.landingridge.jobs.JobTable;
-import org.landingridge.jobs.Progress;
-import org.landingridge.lead.Leadership;
+import org.landingridge.controller.config.Policy;
+import org.landingridge.controller.config.Settings;
+import org.landingridge.controller.jobs.Job;
+import org.landingridge.controller.jobs.JobTable;
+import org.landingridge.controller.lead.Leadership;
+import org.landingridge.controller.obs.Busy.Part;
+import org.landingridge.controller.obs.IncidentReport;
+import org.landingridge.controller.obs.Metrics;
+import org.landingridge.controller.ops.CloudClient;
+import org.landingridge.controller.peer.Message;
+import org.landingridge.controller.peer.PeerNet;
+import org.landingridge.controller.peer.Relay;
+import org.landingridge.controller.progress.Progress;
+import org.landingridge.controller.reign.Parts;
+import org.landingridge.controller.reign.Reign;
+import org.landingridge.controller.store.GroupWriter;
+import org.landingridge.controller.store.Keys;
+import org.landingridge.controller.store.Mirror;
+import org.landingridge.controller.store.StateClient;
+import org.landingridge.controller.users.JobService;
 import org.landingridge.net.Http;
 import org.landingridge.net.Loop;
-import org.landingridge.obs.Busy.Part;
-import org.landingridge.obs.IncidentReport;
-import org.landingridge.obs.Metrics;
-import org.landingridge.ops.CloudClient;
-import org.landingridge.peer.Message;
-import org.landingridge.peer.PeerNet;
-import org.landingridge.peer.Relay;
-import org.landingridge.store.GroupWriter;
-import org.landingridge.store.Mirror;
-import org.landingridge.store.StateClient;
 import org.landingridge.wire.BadMessage;
 import org.landingridge.wire.Json;
 import org.landingridge.wire.MachineType;
@@ -39,16 +41,6 @@
 
 /** One controller: the parts that every controller runs, and the reign while it leads. */
 public final class Controller implements Leadership.Listener {
-    /** Everything in the state service is kept under this prefix. */
-    public static final String ROOT = "lr/";
-    public static final String JOBS = ROOT + "job/";
-    private static final String LEADER = ROOT + "leader";
-
-    /** What a reign works with. */
-    record Parts(Loop loop, Http http, RandomGenerator random, Settings settings, Policy policy, Leadership lead,
-            GroupWriter writer, CloudClient cloud, JobTable table, Map<String, MachineType> types,
-            Metrics metrics, IncidentReport incidents) {}
-
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
     private static final long READY_MS = 4_000;
     private static final long OPEN_MS = 2_000;
@@ -90,17 +82,17 @@
         int nodes = settings.peers().size() + 1;
         // A third of the requests go to watches and a third to barriers; the rest is for renewals and writes.
         long pause = Math.max(20, Math.round(1000 * 3.0 * nodes / settings.stateLimits().rps()));
-        mirror = new Mirror(client, loop, ROOT, pause, metrics.busy, this::changed);
+        mirror = new Mirror(client, loop, Keys.ROOT, pause, metrics.busy, this::changed);
         this.peers = peers;
         others = settings.peers().stream().map(Settings.Peer::host).toList();
         relay = new Relay(loop, peers, settings.host());
-        lead = new Leadership(client, mirror, loop, random, LEADER, settings.host(),
+        lead = new Leadership(client, mirror, loop, random, Keys.LEADER, settings.host(),
                 Math.round(policy.leaderHoldS() * 1000), others, peers, this);
         GroupWriter writer = new GroupWriter(client, mirror, loop, settings.stateLimits().txnOps(),
-                settings.stateLimits().writeRps() * 0.5, LEADER, lead::writeGuard,
+                settings.stateLimits().writeRps() * 0.5, Keys.LEADER, lead::writeGuard,
                 metrics.busy);
         cloud = new CloudClient(http, loop, settings.cloud(), settings.cloudLimits().rps());
-        jobs = new JobService(client, mirror, loop, table, settings, types, JOBS, metrics);
+        jobs = new JobService(client, mirror, loop, table, settings, types, Keys.JOBS, metrics);
         parts = new Parts(loop, http, random, settings, policy, lead, writer, cloud, table, types, metrics, incidents);
     }
 
@@ -181,15 +173,15 @@
     }
 
     private void changed(String key, JsonNode value, long version) {
-        if (key.startsWith(JOBS)) {
-            table.changed(key.substring(JOBS.length()), value, version);
-        } else if (key.equals(LEADER)) {
+        if (key.startsWith(Keys.JOBS)) {
+            table.changed(key.substring(Keys.JOBS.length()), value, version);
+        } else if (key.equals(Keys.LEADER)) {
             String before = lead.leaderHost();
             lead.keyChanged(value, version);
             if (!Objects.equals(before, lead.leaderHost())) {
                 leaderSince = loop.now();
             }
-        } else if (key.equals(LEADER + "-last")) {
+        } else if (key.equals(Keys.LEADER_LAST)) {
             lead.lastChanged(value);
         } else {
             if (value == null) {
@@ -197,7 +189,7 @@
             } else {
                 documents.put(key, value);
             }
-            if (key.startsWith(ROOT + Progress.PREFIX)) {
+            if (key.startsWith(Keys.ROOT + Progress.PREFIX)) {
                 Progress.read(value, table);
             }
         }
--- a/src/main/java/org/landingridge/cli/CheckCommand.java
+++ b/controller/src/main/java/org/landingridge/controller/cli/CheckCommand.java
@@ -1,10 +1,9 @@
-package org.landingridge.cli;
-
+package org.landingridge.controller.cli;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import org.landingridge.config.BadSettings;
-import org.landingridge.config.Policy;
-import org.landingridge.config.Settings;
+import org.landingridge.controller.config.BadSettings;
+import org.landingridge.controller.config.Policy;
+import org.landingridge.controller.config.Settings;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
--- a/src/main/java/org/landingridge/cli/Main.java
+++ b/controller/src/main/java/org/landingridge/controller/cli/Main.java
@@ -1,16 +1,14 @@
-package org.landingridge.cli;
-
+package org.landingridge.controller.cli;
 import java.util.Locale;
 import java.util.Set;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
+import picocli.CommandLine;
 
-/** The command line. {@code --config FILE} alone runs a controller, without loading the rest of the command line. */
+/** The command line of a controller alone. {@code --config FILE} alone runs a controller, without loading the rest of the command line. */
 @Command(name = "landingridge", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
         description = "A cluster scheduler that treats a timeout as an unknown outcome.",
-        subcommands = {RunCommand.class, CheckCommand.class, UserCommands.Submit.class, UserCommands.Show.class,
-            UserCommands.Cancel.class, UserCommands.Status.class, RehearseCommand.class},
+        subcommands = {RunCommand.class, CheckCommand.class, RehearseCommand.class},
         footer = {"", "Exit codes: 0 success, 1 failure, 2 bad usage or settings.",
             "LOG_LEVEL (error, info, debug) sets what is logged to standard error."})
 public final class Main implements Runnable {
@@ -28,9 +26,14 @@
             }
             return;
         }
-        CommandLine line = new CommandLine(new Main());
-        line.setExecutionExceptionHandler((e, command, parsed) -> {
-            command.getErr().println("landingridge: " + e.getMessage());
+        execute(new Main(), args);
+    }
+
+    /** Runs a command; the process ends with its exit code, unless it is negative: then the command goes on. */
+    public static void execute(Object command, String[] args) {
+        CommandLine line = new CommandLine(command);
+        line.setExecutionExceptionHandler((e, failed, parsed) -> {
+            failed.getErr().println("landingridge: " + e.getMessage());
             return 1;
         });
         int code = line.execute(args);
@@ -39,7 +42,8 @@
         }
     }
 
-    private static void logging() {
+    /** Sets up the log, by {@code LOG_LEVEL}; before anything is logged. */
+    public static void logging() {
         String level = System.getenv().getOrDefault("LOG_LEVEL", "info").toLowerCase(Locale.ROOT);
         System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", LEVELS.contains(level) ? level : "info");
         System.setProperty("org.slf4j.simpleLogger.log.org.xnio", "warn");
@@ -58,7 +62,7 @@
     }
 
     /** The version in the jar's manifest. */
-    static final class Version implements IVersionProvider {
+    public static final class Version implements IVersionProvider {
         @Override
         public String[] getVersion() {
             String version = Main.class.getPackage().getImplementationVersion();
--- a/src/main/java/org/landingridge/cli/RehearseCommand.java
+++ b/controller/src/main/java/org/landingridge/controller/cli/RehearseCommand.java
@@ -1,5 +1,4 @@
-package org.landingridge.cli;
-
+package org.landingridge.controller.cli;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
@@ -9,8 +8,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import org.landingridge.config.Policy;
-import org.landingridge.config.Settings;
+import org.landingridge.controller.config.Policy;
+import org.landingridge.controller.config.Settings;
 import org.landingridge.net.Http;
 import org.landingridge.net.HttpClient;
 import org.landingridge.net.HttpServer;
@@ -50,7 +49,7 @@
         Files.writeString(file, String.format(SETTINGS, serve, back, back, standIn, standIn), StandardCharsets.UTF_8);
         Settings settings = Settings.read(file);
         Files.delete(file);
-        XnioWorker worker = RunCommand.worker();
+        XnioWorker worker = XnioLoop.worker();
         XnioLoop loop = new XnioLoop(worker.getIoThread());
         new HttpServer(worker, new InetSocketAddress("127.0.0.1", standIn), JobSpec.MAX_BODY,
                 x -> answer(x, loop, host + standIn)).start();
--- a/src/main/java/org/landingridge/cli/RunCommand.java
+++ b/controller/src/main/java/org/landingridge/controller/cli/RunCommand.java
@@ -1,24 +1,20 @@
-package org.landingridge.cli;
-
+package org.landingridge.controller.cli;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.atomic.AtomicReference;
-import org.landingridge.Controller;
-import org.landingridge.config.BadSettings;
-import org.landingridge.config.Policy;
-import org.landingridge.config.Settings;
+import org.landingridge.controller.Controller;
+import org.landingridge.controller.config.BadSettings;
+import org.landingridge.controller.config.Policy;
+import org.landingridge.controller.config.Settings;
+import org.landingridge.controller.peer.XnioPeerNet;
 import org.landingridge.net.HttpClient;
 import org.landingridge.net.HttpServer;
 import org.landingridge.net.XnioLoop;
-import org.landingridge.peer.XnioPeerNet;
 import org.landingridge.wire.JobSpec;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -58,22 +54,9 @@
         }
     }
 
-    static XnioWorker worker() throws IOException {
-        // XNIO registers its workers as MBeans, which nothing here reads. Setting up the platform's bean server costs a
-        // tenth of a second of processor time at each start; with this XNIO finds none and goes on without.
-        System.setProperty("javax.management.builder.initial", "none");
-        return Xnio.getInstance().createWorker(OptionMap.builder()
-                .set(Options.WORKER_IO_THREADS, 1)
-                .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.STACK_SIZE, 512 * 1024L)
-                .set(Options.WORKER_NAME, "core")
-                .getMap());
-    }
-
     static void start(Settings settings, Policy policy) throws IOException {
         Logger log = LoggerFactory.getLogger(RunCommand.class);
-        XnioWorker worker = worker();
+        XnioWorker worker = XnioLoop.worker();
         XnioLoop loop = new XnioLoop(worker.getIoThread());
         HttpClient client = new HttpClient(worker.getIoThread(), loop,
                 Math.max(16, settings.machine().maxConnections() / 8));
--- a/src/main/java/org/landingridge/config/BadSettings.java
+++ b/controller/src/main/java/org/landingridge/controller/config/BadSettings.java
@@ -1,4 +1,4 @@
-package org.landingridge.config;
+package org.landingridge.controller.config;
 
 /** Settings that cannot be used; the message is one line naming file, field and what was expected. */
 public final class BadSettings extends Exception {
--- a/src/main/java/org/landingridge/config/Policy.java
+++ b/controller/src/main/java/org/landingridge/controller/config/Policy.java
@@ -1,5 +1,4 @@
-package org.landingridge.config;
-
+package org.landingridge.controller.config;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.networknt.schema.InputFormat;
--- a/src/main/java/org/landingridge/fleet/Attempt.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Attempt.java
@@ -1,5 +1,4 @@
-package org.landingridge.fleet;
-
+package org.landingridge.controller.fleet;
 import org.landingridge.wire.JobSpec;
 
 /** One try of a task on one machine, from the moment its start may be sent until it is certainly over. */
--- a/src/main/java/org/landingridge/fleet/BootTimes.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/BootTimes.java
@@ -1,5 +1,4 @@
-package org.landingridge.fleet;
-
+package org.landingridge.controller.fleet;
 import java.util.HashMap;
 import java.util.Map;
 import org.HdrHistogram.IntCountsHistogram;
--- a/src/main/java/org/landingridge/fleet/Fleet.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
@@ -1,5 +1,4 @@
-package org.landingridge.fleet;
-
+package org.landingridge.controller.fleet;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -9,13 +8,13 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.function.Function;
-import org.landingridge.config.Settings;
-import org.landingridge.jobs.Job;
-import org.landingridge.lead.Leadership;
+import org.landingridge.controller.config.Settings;
+import org.landingridge.controller.jobs.Job;
+import org.landingridge.controller.lead.Leadership;
+import org.landingridge.controller.obs.IncidentReport;
+import org.landingridge.controller.obs.Metrics;
 import org.landingridge.net.Http;
 import org.landingridge.net.Loop;
-import org.landingridge.obs.IncidentReport;
-import org.landingridge.obs.Metrics;
 import org.landingridge.wire.BadMessage;
 import org.landingridge.wire.Commands;
 import org.landingridge.wire.JobSpec;
--- a/src/main/java/org/landingridge/fleet/LiveJob.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/LiveJob.java
@@ -1,10 +1,9 @@
-package org.landingridge.fleet;
-
+package org.landingridge.controller.fleet;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
 import org.agrona.collections.Int2ObjectHashMap;
-import org.landingridge.jobs.Job;
+import org.landingridge.controller.jobs.Job;
 import org.landingridge.wire.JobSpec;
 
 /** A job with its tasks, for as long as the leader works on it. */
--- a/src/main/java/org/landingridge/fleet/Machine.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Machine.java
@@ -1,5 +1,4 @@
-package org.landingridge.fleet;
-
+package org.landingridge.controller.fleet;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
--- a/src/main/java/org/landingridge/fleet/Roster.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Roster.java
@@ -1,5 +1,4 @@
-package org.landingridge.fleet;
-
+package org.landingridge.controller.fleet;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -8,8 +7,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.landingridge.store.Document;
-import org.landingridge.store.GroupWriter;
+import org.landingridge.controller.store.Document;
+import org.landingridge.controller.store.GroupWriter;
 import org.landingridge.wire.Json;
 
 /**
--- a/src/main/java/org/landingridge/fleet/Task.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Task.java
@@ -1,4 +1,4 @@
-package org.landingridge.fleet;
+package org.landingridge.controller.fleet;
 
 /** One task of a job, as the leader sees it. */
 public final class Task {
--- a/src/main/java/org/landingridge/jobs/Job.java
+++ b/controller/src/main/java/org/landingridge/controller/jobs/Job.java
@@ -1,5 +1,4 @@
-package org.landingridge.jobs;
-
+package org.landingridge.controller.jobs;
 import java.util.BitSet;
 import org.landingridge.wire.JobSpec;
 
--- a/src/main/java/org/landingridge/lead/Leadership.java
+++ b/controller/src/main/java/org/landingridge/controller/lead/Leadership.java
@@ -1,19 +1,18 @@
-package org.landingridge.lead;
-
+package org.landingridge.controller.lead;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
+import org.landingridge.controller.peer.Message;
+import org.landingridge.controller.peer.PeerNet;
+import org.landingridge.controller.store.Mirror;
+import org.landingridge.controller.store.StateClient.Guard;
+import org.landingridge.controller.store.StateClient.Status;
+import org.landingridge.controller.store.StateClient.Write;
+import org.landingridge.controller.store.StateClient;
 import org.landingridge.net.Loop;
-import org.landingridge.peer.Message;
-import org.landingridge.peer.PeerNet;
-import org.landingridge.store.Mirror;
-import org.landingridge.store.StateClient;
-import org.landingridge.store.StateClient.Guard;
-import org.landingridge.store.StateClient.Status;
-import org.landingridge.store.StateClient.Write;
 import org.landingridge.wire.Json;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
--- a/src/main/java/org/landingridge/obs/Busy.java
+++ b/controller/src/main/java/org/landingridge/controller/obs/Busy.java
@@ -1,5 +1,4 @@
-package org.landingridge.obs;
-
+package org.landingridge.controller.obs;
 import java.util.Locale;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
--- a/src/main/java/org/landingridge/obs/IncidentReport.java
+++ b/controller/src/main/java/org/landingridge/controller/obs/IncidentReport.java
@@ -1,5 +1,4 @@
-package org.landingridge.obs;
-
+package org.landingridge.controller.obs;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import java.time.Instant;
 import java.util.ArrayDeque;
--- a/src/main/java/org/landingridge/obs/Metrics.java
+++ b/controller/src/main/java/org/landingridge/controller/obs/Metrics.java
@@ -1,5 +1,4 @@
-package org.landingridge.obs;
-
+package org.landingridge.controller.obs;
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Meter;
--- a/src/main/java/org/landingridge/ops/CloudClient.java
+++ b/controller/src/main/java/org/landingridge/controller/ops/CloudClient.java
@@ -1,5 +1,4 @@
-package org.landingridge.ops;
-
+package org.landingridge.controller.ops;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/src/main/java/org/landingridge/ops/Operation.java
+++ b/controller/src/main/java/org/landingridge/controller/ops/Operation.java
@@ -1,10 +1,9 @@
-package org.landingridge.ops;
-
+package org.landingridge.controller.ops;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
-import org.landingridge.store.Document;
+import org.landingridge.controller.store.Document;
 import org.landingridge.wire.Json;
 
 /** The record of one rent or give-back: its key and request never change; what was seen of it does. */
--- a/src/main/java/org/landingridge/ops/Operations.java
+++ b/controller/src/main/java/org/landingridge/controller/ops/Operations.java
@@ -1,5 +1,4 @@
-package org.landingridge.ops;
-
+package org.landingridge.controller.ops;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
@@ -7,12 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
+import org.landingridge.controller.ops.NextAction.Observation;
+import org.landingridge.controller.ops.Operation.Kind;
+import org.landingridge.controller.ops.Operation.State;
+import org.landingridge.controller.store.GroupWriter;
 import org.landingridge.net.Http;
 import org.landingridge.net.Loop;
-import org.landingridge.ops.NextAction.Observation;
-import org.landingridge.ops.Operation.Kind;
-import org.landingridge.ops.Operation.State;
-import org.landingridge.store.GroupWriter;
 import org.landingridge.wire.Json;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
--- a/src/main/java/org/landingridge/peer/Message.java
+++ b/controller/src/main/java/org/landingridge/controller/peer/Message.java
@@ -1,5 +1,4 @@
-package org.landingridge.peer;
-
+package org.landingridge.controller.peer;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
--- a/src/main/java/org/landingridge/peer/PeerNet.java
+++ b/controller/src/main/java/org/landingridge/controller/peer/PeerNet.java
@@ -1,4 +1,4 @@
-package org.landingridge.peer;
+package org.landingridge.controller.peer;
 
 /** The way to the other controllers. Messages may be lost, and may arrive late. */
 public interface PeerNet {
--- a/src/main/java/org/landingridge/peer/Relay.java
+++ b/controller/src/main/java/org/landingridge/controller/peer/Relay.java
@@ -1,5 +1,4 @@
-package org.landingridge.peer;
-
+package org.landingridge.controller.peer;
 import java.util.HashMap;
 import java.util.Map;
 import org.landingridge.net.Http;
--- a/src/main/java/org/landingridge/peer/XnioPeerNet.java
+++ b/controller/src/main/java/org/landingridge/controller/peer/XnioPeerNet.java
@@ -1,5 +1,4 @@
-package org.landingridge.peer;
-
+package org.landingridge.controller.peer;
 import com.google.common.net.HostAndPort;
 import java.io.ByteArrayInputStream;
 import java.io.DataInputStream;
@@ -12,7 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import org.landingridge.config.Settings;
+import org.landingridge.controller.config.Settings;
 import org.landingridge.net.Loop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
--- a/src/main/java/org/landingridge/jobs/Progress.java
+++ b/controller/src/main/java/org/landingridge/controller/progress/Progress.java
@@ -1,5 +1,4 @@
-package org.landingridge.jobs;
-
+package org.landingridge.controller.progress;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
@@ -9,10 +8,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.landingridge.fleet.LiveJob;
-import org.landingridge.fleet.Task;
-import org.landingridge.store.Document;
-import org.landingridge.store.GroupWriter;
+import org.landingridge.controller.fleet.LiveJob;
+import org.landingridge.controller.fleet.Task;
+import org.landingridge.controller.jobs.Job;
+import org.landingridge.controller.jobs.JobTable;
+import org.landingridge.controller.store.Document;
+import org.landingridge.controller.store.GroupWriter;
 import org.landingridge.wire.Json;
 
 /**
--- a/src/main/java/org/landingridge/Expectations.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Expectations.java
@@ -1,13 +1,12 @@
-package org.landingridge;
-
+package org.landingridge.controller.reign;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.landingridge.config.Policy;
-import org.landingridge.config.Settings;
-import org.landingridge.jobs.Job;
-import org.landingridge.sched.Group;
+import org.landingridge.controller.config.Policy;
+import org.landingridge.controller.config.Settings;
+import org.landingridge.controller.jobs.Job;
+import org.landingridge.controller.sched.Group;
 import org.landingridge.wire.JobSpec;
 import org.landingridge.wire.MachineType;
 
--- a/src/main/java/org/landingridge/Reign.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Reign.java
@@ -1,5 +1,4 @@
-package org.landingridge;
-
+package org.landingridge.controller.reign;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
@@ -11,31 +10,32 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import org.landingridge.config.Policy;
-import org.landingridge.config.Settings;
-import org.landingridge.fleet.Attempt;
-import org.landingridge.fleet.Fleet;
-import org.landingridge.fleet.LiveJob;
-import org.landingridge.fleet.Machine;
-import org.landingridge.fleet.Roster;
-import org.landingridge.fleet.Task;
-import org.landingridge.jobs.Job;
-import org.landingridge.jobs.JobTable;
-import org.landingridge.jobs.Progress;
-import org.landingridge.lead.Leadership;
+import org.landingridge.controller.config.Policy;
+import org.landingridge.controller.config.Settings;
+import org.landingridge.controller.fleet.Attempt;
+import org.landingridge.controller.fleet.Fleet;
+import org.landingridge.controller.fleet.LiveJob;
+import org.landingridge.controller.fleet.Machine;
+import org.landingridge.controller.fleet.Roster;
+import org.landingridge.controller.fleet.Task;
+import org.landingridge.controller.jobs.Job;
+import org.landingridge.controller.jobs.JobTable;
+import org.landingridge.controller.lead.Leadership;
+import org.landingridge.controller.obs.Busy.Part;
+import org.landingridge.controller.ops.CloudClient;
+import org.landingridge.controller.ops.Operation;
+import org.landingridge.controller.ops.Operations;
+import org.landingridge.controller.progress.Progress;
+import org.landingridge.controller.sched.Group;
+import org.landingridge.controller.sched.Node;
+import org.landingridge.controller.sched.Peak;
+import org.landingridge.controller.sched.Plan;
+import org.landingridge.controller.sched.Scheduler;
+import org.landingridge.controller.sched.Team;
+import org.landingridge.controller.store.GroupWriter;
+import org.landingridge.controller.store.Keys;
 import org.landingridge.net.Http;
 import org.landingridge.net.Loop;
-import org.landingridge.obs.Busy.Part;
-import org.landingridge.ops.CloudClient;
-import org.landingridge.ops.Operation;
-import org.landingridge.ops.Operations;
-import org.landingridge.sched.Group;
-import org.landingridge.sched.Node;
-import org.landingridge.sched.Peak;
-import org.landingridge.sched.Plan;
-import org.landingridge.sched.Scheduler;
-import org.landingridge.sched.Team;
-import org.landingridge.store.GroupWriter;
 import org.landingridge.wire.CloudMachine;
 import org.landingridge.wire.JobSpec;
 import org.landingridge.wire.MachineType;
@@ -47,10 +47,10 @@
  * One time in the lead: everything that the leader knows and does, built anew from the state service and from reports
  * at each election and dropped whole when the lead ends.
  */
-final class Reign implements Fleet.Events, Operations.Events, Progress.Events, JobTable.Listener {
+public final class Reign implements Fleet.Events, Operations.Events, Progress.Events, JobTable.Listener {
     private static final Logger LOG = LoggerFactory.getLogger(Reign.class);
     private static final long PASS_MS = 25;
-    private final Controller.Parts parts;
+    private final Parts parts;
     private final Loop loop;
     private final Leadership lead;
     private final GroupWriter writer;
@@ -73,7 +73,7 @@
     private long nextList;
     private boolean closed;
 
-    Reign(Controller.Parts parts, Map<String, JsonNode> stored) {
+    public Reign(Parts parts, Map<String, JsonNode> stored) {
         this.parts = parts;
         this.loop = parts.loop();
         this.lead = parts.lead();
@@ -85,7 +85,7 @@
         for (String team : settings.teams().keySet()) {
             teamIndex.put(team, teamIndex.size());
         }
-        String root = Controller.ROOT;
+        String root = Keys.ROOT;
         expectations = new Expectations(settings.objectives(), policy);
         fleet = new Fleet(loop, parts.http(), lead, settings.workers(), parts.types()::get,
                 parts.metrics(), parts.incidents(), this);
@@ -96,7 +96,7 @@
             return job == null ? null : job.spec();
         });
         roster = new Roster(root, writer, fleet, settings.stateLimits().valueKb());
-        progress = new Progress(root, Controller.JOBS, writer, settings.stateLimits().valueKb(), this);
+        progress = new Progress(root, Keys.JOBS, writer, settings.stateLimits().valueKb(), this);
         operations = new Operations(loop, parts.random(), cloud, writer, root, lead.token(), policy.queryLimitS(),
                 this);
         // A fresh process has read the finished tasks before it read their jobs, for such is the order of the keys: unless
@@ -136,14 +136,14 @@
         tick();
     }
 
-    void close() {
+    public void close() {
         closed = true;
         fleet.close();
         operations.close();
         writer.clear();
     }
 
-    void report(Report r, Http.Exchange exchange) {
+    public void report(Report r, Http.Exchange exchange) {
         fleet.report(r, exchange);
     }
 
@@ -511,7 +511,7 @@
     }
 
     /** Tasks seen running, by job. */
-    Map<String, Integer> running() {
+    public Map<String, Integer> running() {
         Map<String, Integer> counts = new LinkedHashMap<>();
         for (Machine m : fleet.machines()) {
             for (Attempt a : m.attempts().values()) {
@@ -523,7 +523,7 @@
         return counts;
     }
 
-    ObjectNode describe(ObjectNode n) {
+    public ObjectNode describe(ObjectNode n) {
         Map<String, Integer> states = new LinkedHashMap<>();
         for (Machine m : fleet.machines()) {
             states.merge(m.state().name().toLowerCase(Locale.ROOT), 1, Integer::sum);
--- a/src/main/java/org/landingridge/sched/Group.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Group.java
@@ -1,5 +1,4 @@
-package org.landingridge.sched;
-
+package org.landingridge.controller.sched;
 import java.util.HashMap;
 import java.util.Map;
 import org.landingridge.wire.JobSpec;
--- a/src/main/java/org/landingridge/sched/Renting.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Renting.java
@@ -1,5 +1,4 @@
-package org.landingridge.sched;
-
+package org.landingridge.controller.sched;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
--- a/src/main/java/org/landingridge/sched/Team.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Team.java
@@ -1,5 +1,4 @@
-package org.landingridge.sched;
-
+package org.landingridge.controller.sched;
 import org.landingridge.wire.JobSpec;
 
 /** A team's guarantee and limit, and what its work uses now; 0 as a limit means none. */
--- a/src/main/java/org/landingridge/store/Document.java
+++ b/controller/src/main/java/org/landingridge/controller/store/Document.java
@@ -1,5 +1,4 @@
-package org.landingridge.store;
-
+package org.landingridge.controller.store;
 import com.fasterxml.jackson.databind.JsonNode;
 
 /** One stored value that the leader keeps up to date through the {@link GroupWriter}. */
--- a/src/main/java/org/landingridge/store/GroupWriter.java
+++ b/controller/src/main/java/org/landingridge/controller/store/GroupWriter.java
@@ -1,5 +1,4 @@
-package org.landingridge.store;
-
+package org.landingridge.controller.store;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -7,10 +6,10 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import org.landingridge.controller.obs.Busy;
+import org.landingridge.controller.store.StateClient.Guard;
+import org.landingridge.controller.store.StateClient.Write;
 import org.landingridge.net.Loop;
-import org.landingridge.obs.Busy;
-import org.landingridge.store.StateClient.Guard;
-import org.landingridge.store.StateClient.Write;
 import org.landingridge.wire.Json;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
--- a/src/main/java/org/landingridge/store/Mirror.java
+++ b/controller/src/main/java/org/landingridge/controller/store/Mirror.java
@@ -1,5 +1,4 @@
-package org.landingridge.store;
-
+package org.landingridge.controller.store;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -7,10 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.landingridge.controller.obs.Busy;
+import org.landingridge.controller.store.StateClient.Answer;
+import org.landingridge.controller.store.StateClient.Status;
 import org.landingridge.net.Loop;
-import org.landingridge.obs.Busy;
-import org.landingridge.store.StateClient.Answer;
-import org.landingridge.store.StateClient.Status;
 import org.landingridge.wire.Json;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
--- a/src/main/java/org/landingridge/store/StateClient.java
+++ b/controller/src/main/java/org/landingridge/controller/store/StateClient.java
@@ -1,5 +1,4 @@
-package org.landingridge.store;
-
+package org.landingridge.controller.store;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
--- a/src/test/java/org/landingridge/ops/NextActionTest.java
+++ b/controller/src/test/java/org/landingridge/controller/ops/NextActionTest.java
@@ -1,11 +1,10 @@
-package org.landingridge.ops;
-
+package org.landingridge.controller.ops;
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.landingridge.ops.NextAction.Observation.FAILED_TERMINAL;
-import static org.landingridge.ops.NextAction.Observation.IN_PROGRESS;
-import static org.landingridge.ops.NextAction.Observation.NOT_FOUND;
-import static org.landingridge.ops.NextAction.Observation.SUCCEEDED;
-import static org.landingridge.ops.NextAction.Observation.UNAVAILABLE;
+import static org.landingridge.controller.ops.NextAction.Observation.FAILED_TERMINAL;
+import static org.landingridge.controller.ops.NextAction.Observation.IN_PROGRESS;
+import static org.landingridge.controller.ops.NextAction.Observation.NOT_FOUND;
+import static org.landingridge.controller.ops.NextAction.Observation.SUCCEEDED;
+import static org.landingridge.controller.ops.NextAction.Observation.UNAVAILABLE;
 
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/org/landingridge/sched/SchedulerTest.java
+++ b/controller/src/test/java/org/landingridge/controller/sched/SchedulerTest.java
@@ -1,5 +1,4 @@
-package org.landingridge.sched;
-
+package org.landingridge.controller.sched;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
--- a/src/test/java/org/landingridge/sim/Cloud.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Cloud.java
@@ -1,5 +1,4 @@
-package org.landingridge.sim;
-
+package org.landingridge.emulator;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -8,48 +7,65 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.random.RandomGenerator;
 import org.landingridge.net.Http.Exchange;
+import org.landingridge.net.Loop;
 import org.landingridge.wire.Json;
 
 /** A stand-in for the cloud: rents by booking, lists with a lag, boots workers. */
-final class Cloud implements Sim.Server {
-    static final String TYPE = "t4";
-    static final long LAG_MS = 4_000;
+public final class Cloud implements Server {
+    /** What the one type of machines is, and how the cloud behaves. */
+    public record Offer(String type, double cpus, double memoryGb, List<String> zones, long bootMs, long listLagMs) {}
+
+    /** What becomes of a machine that has booted, or is given back or taken. */
+    public interface Machines {
+        /** Starts the machine's worker; returns the address at which it takes commands. */
+        String boot(Box box);
+
+        void kill(Box box);
+    }
 
     /** A rented machine. */
-    final class Box {
-        final String id;
-        final String zone;
-        final boolean spot;
+    public final class Box {
+        public final String id;
+        public final String zone;
+        public final boolean spot;
         final long rentedAt;
-        Worker worker;
-        boolean deleted;
+        /** Null until it has booted. */
+        private String addr;
+        public boolean deleted;
 
         Box(String id, String zone, boolean spot) {
             this.id = id;
             this.zone = zone;
             this.spot = spot;
-            this.rentedAt = sim.now;
+            this.rentedAt = loop.now();
         }
     }
 
-    private final Sim sim;
-    private final Sim.Host host;
-    private final World world;
+    private final Loop loop;
+    private final RandomGenerator random;
+    private final Offer offer;
+    private final Machines machines;
+    private final Truth truth;
     private final Map<String, List<String>> bookings = new HashMap<>();
-    final TreeMap<String, Box> boxes = new TreeMap<>();
+    public final TreeMap<String, Box> boxes = new TreeMap<>();
     private final List<Map.Entry<Long, ArrayNode>> lists = new ArrayList<>();
-    final Map<String, Integer> requests = new HashMap<>();
+    /** Requests by booking: a booking must never be used for another one. */
+    public final Map<String, Integer> requests = new HashMap<>();
     /** Of spot machines, and of ordinary ones. */
-    int capacity = 20;
-    boolean trouble;
-    long bootMs = 3_000;
+    public int capacity = 20;
+    public boolean trouble;
+    public long bootMs;
     private int names;
 
-    Cloud(Sim sim, Sim.Host host, World world) {
-        this.sim = sim;
-        this.host = host;
-        this.world = world;
+    public Cloud(Loop loop, RandomGenerator random, Offer offer, Machines machines, Truth truth) {
+        this.loop = loop;
+        this.random = random;
+        this.offer = offer;
+        this.machines = machines;
+        this.truth = truth;
+        bootMs = offer.bootMs();
         snapshot();
     }
 
@@ -57,35 +73,38 @@
         ArrayNode all = Json.array();
         for (Box b : boxes.values()) {
             if (!b.deleted) {
-                ObjectNode n = all.addObject().put("id", b.id).put("rig", TYPE).put("yard", b.zone)
-                        .put("standby", b.spot).put("status", b.worker == null ? "booting" : "running")
-                        .put("heldS", (sim.now - b.rentedAt) / 1000.0);
-                if (b.worker != null) {
-                    n.put("addr", b.worker.addr);
+                ObjectNode n = all.addObject().put("id", b.id).put("rig", offer.type()).put("yard", b.zone)
+                        .put("standby", b.spot).put("status", b.addr == null ? "booting" : "running")
+                        .put("heldS", (loop.now() - b.rentedAt) / 1000.0);
+                if (b.addr != null) {
+                    n.put("addr", b.addr);
                 }
             }
         }
-        lists.add(Map.entry(sim.now, all));
-        host.after(500, this::snapshot);
+        lists.add(Map.entry(loop.now(), all));
+        while (lists.size() > 2 && lists.get(1).getKey() < loop.now() - 2 * offer.listLagMs()) {
+            lists.remove(0);
+        }
+        loop.after(500, this::snapshot);
     }
 
-    Box rent(String zone, boolean spot) {
+    public Box rent(String zone, boolean spot) {
         Box b = new Box(String.format("m-%06d", names++), zone, spot);
         boxes.put(b.id, b);
-        host.after(bootMs, () -> {
+        loop.after(bootMs, () -> {
             if (!b.deleted) {
-                b.worker = new Worker(world, b);
+                b.addr = machines.boot(b);
             }
         });
         return b;
     }
 
-    void delete(String id) {
+    public void delete(String id) {
         Box b = boxes.get(id);
         if (b != null && !b.deleted) {
             b.deleted = true;
-            if (b.worker != null) {
-                b.worker.die();
+            if (b.addr != null) {
+                machines.kill(b);
             }
         }
     }
@@ -100,17 +119,18 @@
         if (x.path().equals("/machine_types")) {
             ObjectNode n = Json.object();
             ObjectNode t = n.putArray("rigs").addObject();
-            t.put("name", TYPE).put("cpus", 4).put("cards", 0).put("memoryGb", 8).put("localGb", 30)
-                    .put("fetchGbPerS", 1).put("hourly", 1).put("spotPrice", 0.3).put("startupS", 3);
-            t.putArray("yards").add("a").add("b");
+            t.put("name", offer.type()).put("cpus", offer.cpus()).put("cards", 0).put("memoryGb", offer.memoryGb())
+                    .put("localGb", 30).put("fetchGbPerS", 1).put("hourly", 1).put("spotPrice", 0.3)
+                    .put("startupS", offer.bootMs() / 1000.0);
+            offer.zones().forEach(t.putArray("yards")::add);
             x.answer(200, Json.bytes(n));
-        } else if (x.path().equals("/hosts")) {
+        } else if (x.path().equals("/hosts") && x.method().equals("POST")) {
             String booking = body.get("booking").textValue();
             List<String> made = bookings.get(booking);
             String request = body.toString();
             Integer seen = requests.putIfAbsent(booking, request.hashCode());
             if (seen != null && seen != request.hashCode()) {
-                world.rules.broken.add(sim.now + " one booking with two requests: " + booking);
+                truth.misused("one booking with two requests: " + booking);
             }
             if (made == null) {
                 boolean spot = body.get("standby").booleanValue();
@@ -132,8 +152,8 @@
         } else if (x.path().equals("/hosts/return")) {
             body.get("boxes").forEach(b -> delete(b.textValue()));
             x.answer(200, Json.bytes(Json.object()));
-        } else if (x.path().startsWith("/hosts?")) {
-            long asOf = sim.now - LAG_MS / 2 - sim.random.nextInt((int) LAG_MS);
+        } else if (x.path().equals("/hosts")) {
+            long asOf = loop.now() - offer.listLagMs() / 2 - random.nextInt((int) offer.listLagMs());
             ArrayNode seen = Json.array();
             for (Map.Entry<Long, ArrayNode> l : lists) {
                 if (l.getKey() <= asOf) {
--- a/src/test/java/org/landingridge/sim/Rules.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Rules.java
@@ -1,42 +1,57 @@
-package org.landingridge.sim;
-
+package org.landingridge.emulator;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.landingridge.net.Loop;
 import org.landingridge.wire.JobSpec;
 
 /** The checker: sees the truth of the simulated world and notes every broken rule. */
-final class Rules {
-    final List<String> broken = new ArrayList<>();
-    final Map<String, JobSpec> specs = new HashMap<>();
+public final class Rules implements Truth {
+    public final List<String> broken = new ArrayList<>();
+    public final Map<String, JobSpec> specs = new HashMap<>();
     /** What users were told last: accepted, done or cancelled. */
-    final Map<String, String> told = new HashMap<>();
-    final Map<String, Long> cancelledAt = new HashMap<>();
-    final Set<String> cancelAsked = new HashSet<>();
+    public final Map<String, String> told = new HashMap<>();
+    public final Map<String, Long> cancelledAt = new HashMap<>();
+    public final Set<String> cancelAsked = new HashSet<>();
     /** Where each task is, by task name. */
-    final Map<String, String> places = new HashMap<>();
-    final Set<String> completed = new HashSet<>();
-    final Map<String, Double> limits = new HashMap<>();
-    private final Sim sim;
+    public final Map<String, String> places = new HashMap<>();
+    public final Set<String> completed = new HashSet<>();
+    public final Map<String, Double> limits = new HashMap<>();
+    private final Loop loop;
     private final long cancelMs;
-    int starts;
+    public int starts;
     /** Starts of tasks that had completed before: no rule forbids them, but they are work done twice. */
-    int repeats;
+    public int repeats;
 
-    Rules(Sim sim, long cancelMs) {
-        this.sim = sim;
+    public Rules(Loop loop, long cancelMs) {
+        this.loop = loop;
         this.cancelMs = cancelMs;
     }
 
     private void broke(String rule, String what) {
-        broken.add(sim.now + " " + rule + ": " + what);
+        broken.add(loop.now() + " " + rule + ": " + what);
+    }
+
+    @Override
+    public JobSpec spec(String jobId) {
+        return specs.get(jobId);
+    }
+
+    @Override
+    public boolean completed(String task) {
+        return completed.contains(task);
+    }
+
+    @Override
+    public void misused(String what) {
+        broke("misused", what);
     }
 
-    /** A task has its image and starts. */
-    void starts(String task, String machine, String type, String zone, boolean spot) {
+    @Override
+    public void starts(String task, String machine, String type, String zone, boolean spot) {
         String id = task.substring(0, task.lastIndexOf('/'));
         JobSpec spec = specs.get(id);
         starts++;
@@ -76,7 +91,8 @@
         }
     }
 
-    void ends(String task, boolean done) {
+    @Override
+    public void ends(String task, boolean done) {
         places.remove(task);
         if (done) {
             completed.add(task);
@@ -85,17 +101,17 @@
 
     private void late(String task) {
         Long at = cancelledAt.get(task.substring(0, task.lastIndexOf('/')));
-        if (at != null && sim.now > at + cancelMs) {
+        if (at != null && loop.now() > at + cancelMs) {
             broke("ran_cancelled", task);
         }
     }
 
-    void everySecond() {
+    public void everySecond() {
         places.keySet().forEach(this::late);
     }
 
     /** An answer to a user about a job. */
-    void answered(String id, String asked, int status, String state) {
+    public void answered(String id, String asked, int status, String state) {
         String before = told.get(id);
         if (status == 404 && before != null) {
             broke("forgotten", id + " was " + before + " and gets 404");
@@ -125,7 +141,7 @@
             }
         }
         if (state.equals("cancelled")) {
-            cancelledAt.putIfAbsent(id, sim.now);
+            cancelledAt.putIfAbsent(id, loop.now());
         }
         told.put(id, state.equals("done") || state.equals("cancelled") ? state : "accepted");
     }
--- a/src/test/java/org/landingridge/sim/Sim.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Sim.java
@@ -1,5 +1,4 @@
-package org.landingridge.sim;
-
+package org.landingridge.emulator;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -13,19 +12,14 @@
 import org.landingridge.net.Loop;
 
 /** Simulated time and network. Everything happens on one thread, in an order that the seed decides. */
-final class Sim {
-    /** A host that answers HTTP. */
-    interface Server {
-        void serve(Http.Exchange exchange);
-    }
-
+public final class Sim {
     private record Event(long at, long order, Host host, int life, Runnable task, boolean[] cancelled) {}
 
     /** A machine with a power switch; timers of an earlier life never fire. */
-    final class Host implements Loop {
-        final String name;
-        boolean up = true;
-        int life;
+    public final class Host implements Loop {
+        public final String name;
+        public boolean up = true;
+        public int life;
 
         Host(String name) {
             this.name = name;
@@ -53,14 +47,14 @@
             return () -> cancelled[0] = true;
         }
 
-        void kill() {
+        public void kill() {
             up = false;
             life++;
         }
     }
 
-    final Random random;
-    long now;
+    public final Random random;
+    public long now;
     private long order;
     private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) ->
             a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
@@ -68,25 +62,25 @@
     private final Map<String, Host> hosts = new HashMap<>();
     private final Set<String> cuts = new HashSet<>();
     /** What is sent into a cut is lost instead of held. */
-    boolean dropping;
+    public boolean dropping;
     private final List<Runnable> held = new ArrayList<>();
     /** Share of answers that get lost after the request was carried out, by target host. */
-    final Map<String, Double> lostAnswers = new HashMap<>();
+    public final Map<String, Double> lostAnswers = new HashMap<>();
 
-    Sim(long seed) {
+    public Sim(long seed) {
         random = new Random(seed);
     }
 
-    Host host(String name) {
+    public Host host(String name) {
         return new Host(name);
     }
 
-    void listen(String addr, Host host, Server server) {
+    public void listen(String addr, Host host, Server server) {
         servers.put(addr, server);
         hosts.put(addr, host);
     }
 
-    void run(long until) {
+    public void run(long until) {
         while (!events.isEmpty() && events.peek().at <= until) {
             Event e = events.poll();
             now = e.at;
@@ -98,12 +92,12 @@
     }
 
     /** Cuts the way between two hosts; what is sent meanwhile is held and delivered at the end of the cut. */
-    void cut(String a, String b) {
+    public void cut(String a, String b) {
         cuts.add(a + ">" + b);
         cuts.add(b + ">" + a);
     }
 
-    void heal() {
+    public void heal() {
         cuts.clear();
         List<Runnable> late = new ArrayList<>(held);
         held.clear();
@@ -119,7 +113,7 @@
     }
 
     /** Carries something from one host to another, held while the way is cut. */
-    void deliver(Host from, Host to, Runnable task) {
+    public void deliver(Host from, Host to, Runnable task) {
         Runnable go = () -> to.after(latency(), task);
         if (isCut(from, to)) {
             if (!dropping) {
@@ -131,7 +125,7 @@
     }
 
     /** The HTTP client of a host. */
-    Http client(Host from) {
+    public Http client(Host from) {
         return (addr, method, path, body, timeoutMs, done) -> {
             boolean[] over = new boolean[1];
             Consumer<Http.Reply> once = reply -> {
@@ -161,7 +155,12 @@
 
                     @Override
                     public String path() {
-                        return path;
+                        return path.indexOf('?') < 0 ? path : path.substring(0, path.indexOf('?'));
+                    }
+
+                    @Override
+                    public String query() {
+                        return path.indexOf('?') < 0 ? "" : path.substring(path.indexOf('?') + 1);
                     }
 
                     @Override
--- a/src/test/java/org/landingridge/sim/StateService.java
+++ b/emulator/src/main/java/org/landingridge/emulator/StateService.java
@@ -1,4 +1,4 @@
-package org.landingridge.sim;
+package org.landingridge.emulator;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -11,45 +11,74 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.landingridge.net.Http.Exchange;
+import org.landingridge.net.Loop;
 import org.landingridge.wire.Json;
 
 /** A stand-in for the state service, written from its protocol. */
-final class StateService implements Sim.Server {
-    private record Entry(JsonNode value, long version, long lease) {}
+public final class StateService implements Server {
+    /** An answer holds no more entries, and no more bytes, than this. */
+    private static final int PAGE_ENTRIES = 1_000;
+    private static final int PAGE_BYTES = 512 * 1024;
+
+    /** A value with the revision of its last change and the lease that it is bound to, 0 for none. */
+    public record Entry(JsonNode value, long version, long lease) {}
 
     private record Change(long revision, String key, JsonNode value) {}
 
     private record Watch(String prefix, long after, Exchange exchange) {}
 
-    private final Sim sim;
-    private final Sim.Host host;
+    private final Loop loop;
     private final TreeMap<String, Entry> keys = new TreeMap<>();
     private final List<Change> log = new ArrayList<>();
     private final Map<Long, Long> leases = new HashMap<>();
     private final Map<Long, Long> lives = new HashMap<>();
     private final List<Watch> watches = new ArrayList<>();
+    private final Shelf shelf;
     private long revision;
     private long nextLease;
-    boolean outage;
+    /** Changes up to this revision are forgotten: a watch from before it is too old. */
+    private long forgotten;
+    private boolean outage;
     /** Clients for which the service answers 503, while the others are served. */
-    final Set<String> refused = new HashSet<>();
-    int tooLarge;
+    public final Set<String> refused = new HashSet<>();
+    /** Values larger than {@link #valueBytes} that were sent. */
+    public int tooLarge;
     /** The most requests, and puts and deletes, in any second. */
-    int mostRequests;
-    int mostWrites;
+    public int mostRequests;
+    public int mostWrites;
+    /** Requests so far, by client. */
+    public final Map<String, Integer> requestsOf = new HashMap<>();
     private int requests;
     private int writes;
     /** Requests, and puts and deletes, a second; 0 for no limit. Beyond them, and a second's worth of burst: 429. */
-    double rps;
-    double writeRps;
-    int tooMany;
+    public double rps;
+    public double writeRps;
+    public int tooMany;
+    public int valueBytes = 4096;
+    /** So many changes are kept for watches. */
+    public int keptChanges = 10_000;
     private double requestsLeft;
     private double writesLeft;
     private long refilled;
 
-    StateService(Sim sim, Sim.Host host) {
-        this.sim = sim;
-        this.host = host;
+    public StateService(Loop loop) {
+        this(loop, null);
+    }
+
+    /** @param shelf where everything is kept beyond this process, or null */
+    public StateService(Loop loop, Shelf shelf) {
+        this.loop = loop;
+        this.shelf = shelf;
+        if (shelf != null) {
+            revision = shelf.load(keys);
+            forgotten = revision;
+            // Leases that were open when the service ended have their full time again.
+            keys.values().stream().filter(e -> e.lease != 0).forEach(e -> {
+                leases.put(e.lease, loop.now() + shelf.life(e.lease));
+                lives.put(e.lease, shelf.life(e.lease));
+                nextLease = Math.max(nextLease, e.lease);
+            });
+        }
         expire();
         count();
     }
@@ -59,18 +88,29 @@
         mostWrites = Math.max(mostWrites, writes);
         requests = 0;
         writes = 0;
-        host.after(1_000, this::count);
+        loop.after(1_000, this::count);
     }
 
-    JsonNode value(String key) {
+    public JsonNode value(String key) {
         Entry e = keys.get(key);
         return e == null ? null : e.value;
     }
 
-    void outage(boolean on) {
+    /** Keys with a prefix, in order. */
+    public List<String> keys(String prefix) {
+        return List.copyOf(keys.subMap(prefix, prefix + Character.MAX_VALUE).keySet());
+    }
+
+    /** Puts a value as it would stand after a change of its own, with no watch told: what was there before a history. */
+    public void seed(String key, JsonNode value) {
+        keys.put(key, new Entry(value, ++revision, 0));
+        forgotten = revision;
+    }
+
+    public void outage(boolean on) {
         outage = on;
         if (!on) {
-            lives.forEach((lease, life) -> leases.put(lease, sim.now + life));
+            lives.forEach((lease, life) -> leases.put(lease, loop.now() + life));
             wake();
         }
     }
@@ -78,12 +118,12 @@
     private void expire() {
         if (!outage) {
             for (Long lease : new ArrayList<>(leases.keySet())) {
-                if (leases.get(lease) <= sim.now) {
+                if (leases.get(lease) <= loop.now()) {
                     end(lease);
                 }
             }
         }
-        host.after(20, this::expire);
+        loop.after(20, this::expire);
     }
 
     private void end(long lease) {
@@ -103,12 +143,21 @@
     }
 
     private void change(String key, JsonNode value, long lease) {
-        if (value == null) {
+        Entry entry = value == null ? null : new Entry(value, revision, lease);
+        if (entry == null) {
             keys.remove(key);
         } else {
-            keys.put(key, new Entry(value, revision, lease));
+            keys.put(key, entry);
+        }
+        if (shelf != null) {
+            shelf.changed(key, entry, revision);
         }
         log.add(new Change(revision, key, value));
+        if (log.size() > 2 * keptChanges) {
+            List<Change> old = log.subList(0, log.size() - keptChanges);
+            forgotten = old.get(old.size() - 1).revision;
+            old.clear();
+        }
     }
 
     private void wake() {
@@ -116,7 +165,7 @@
             return;
         }
         for (Watch w : new ArrayList<>(watches)) {
-            if (events(w.prefix, w.after).size() > 0) {
+            if (w.after < forgotten || !events(w.prefix, w.after).isEmpty()) {
                 watches.remove(w);
                 answer(w);
             }
@@ -124,9 +173,13 @@
     }
 
     private ArrayNode events(String prefix, long after) {
+        int first = log.size();
+        while (first > 0 && log.get(first - 1).revision > after) {
+            first--;
+        }
         ArrayNode all = Json.array();
-        for (Change c : log) {
-            if (c.revision > after && c.key.startsWith(prefix)) {
+        for (Change c : log.subList(first, log.size())) {
+            if (c.key.startsWith(prefix)) {
                 ObjectNode e = all.addObject();
                 if (c.value == null) {
                     e.put("delete", c.key);
@@ -140,18 +193,23 @@
     }
 
     private void answer(Watch w) {
+        if (w.after < forgotten) {
+            w.exchange.answer(410, Json.bytes(Json.object().put("edition", revision)));
+            return;
+        }
         ObjectNode n = Json.object().put("edition", revision);
         n.set("events", events(w.prefix, w.after));
         w.exchange.answer(200, Json.bytes(n));
     }
 
-    /** A view of the service for one client, which may be refused alone. */
-    Sim.Server as(String client) {
-        return exchange -> {
+    /** The service as one client sees it. */
+    public Server as(String client) {
+        return x -> {
+            requestsOf.merge(client, 1, Integer::sum);
             if (refused.contains(client)) {
-                exchange.answer(503, new byte[0]);
+                x.answer(503, new byte[0]);
             } else {
-                serve(exchange);
+                serve(x);
             }
         };
     }
@@ -170,23 +228,19 @@
         }
         String path = x.path();
         Map<String, String> query = new HashMap<>();
-        int q = path.indexOf('?');
-        if (q >= 0) {
-            for (String part : path.substring(q + 1).split("&")) {
-                int eq = part.indexOf('=');
-                query.put(part.substring(0, eq), part.substring(eq + 1));
-            }
-            path = path.substring(0, q);
+        for (String part : x.query().isEmpty() ? new String[0] : x.query().split("&")) {
+            int eq = part.indexOf('=');
+            query.put(part.substring(0, eq), part.substring(eq + 1));
         }
         JsonNode body = x.body().length == 0 ? Json.object() : Json.parse(x.body());
         if (path.equals("/watch")) {
             Watch w = new Watch(query.get("under"), Long.parseLong(query.get("from")), x);
             long wait = Long.parseLong(query.getOrDefault("blockMs", "0"));
-            if (wait == 0 || events(w.prefix, w.after).size() > 0) {
+            if (wait == 0 || w.after < forgotten || !events(w.prefix, w.after).isEmpty()) {
                 answer(w);
             } else {
                 watches.add(w);
-                host.after(wait, () -> {
+                loop.after(wait, () -> {
                     if (watches.remove(w)) {
                         answer(w);
                     }
@@ -209,8 +263,12 @@
         } else if (path.equals("/holds")) {
             long lease = ++nextLease;
             long life = body.get("lifeMs").longValue();
-            leases.put(lease, sim.now + life);
+            leases.put(lease, loop.now() + life);
             lives.put(lease, life);
+            if (shelf != null) {
+                shelf.granted(lease, life);
+                shelf.commit();
+            }
             x.answer(200, Json.bytes(Json.object().put("permit", lease)));
         } else if (path.startsWith("/holds/")) {
             String[] parts = path.split("/");
@@ -221,7 +279,7 @@
                 end(lease);
                 x.answer(200, new byte[0]);
             } else {
-                leases.put(lease, sim.now + lives.get(lease));
+                leases.put(lease, loop.now() + lives.get(lease));
                 x.answer(200, new byte[0]);
             }
         } else {
@@ -234,8 +292,8 @@
         if (rps <= 0) {
             return true;
         }
-        double passed = (sim.now - refilled) / 1000.0;
-        refilled = sim.now;
+        double passed = (loop.now() - refilled) / 1000.0;
+        refilled = loop.now();
         requestsLeft = Math.min(rps, requestsLeft + passed * rps);
         writesLeft = Math.min(writeRps, writesLeft + passed * writeRps);
         int changes = x.path().equals("/commit") ? Json.parse(x.body()).path("writes").size() : 0;
@@ -250,18 +308,24 @@
     private void list(Map<String, String> query, Exchange x) {
         ObjectNode n = Json.object();
         ArrayNode entries = n.putArray("entries");
-        int limit = Integer.parseInt(query.getOrDefault("limit", "1000"));
+        int limit = Math.min(PAGE_ENTRIES, Integer.parseInt(query.getOrDefault("limit", "1000")));
+        String prefix = query.get("under");
+        String from = query.get("from");
         boolean more = false;
-        for (Map.Entry<String, Entry> e : keys.entrySet()) {
-            String from = query.get("from");
-            if (e.getKey().startsWith(query.get("under")) && (from == null || e.getKey().compareTo(from) > 0)) {
-                if (entries.size() == limit) {
-                    more = true;
-                    break;
-                }
-                entries.addObject().put("key", e.getKey()).put("stamp", e.getValue().version)
-                        .set("data", e.getValue().value);
+        int bytes = 0;
+        Map<String, Entry> rest = from == null || from.compareTo(prefix) < 0 ? keys.tailMap(prefix, true)
+                : keys.tailMap(from, false);
+        for (Map.Entry<String, Entry> e : rest.entrySet()) {
+            if (!e.getKey().startsWith(prefix)) {
+                break;
             }
+            if (entries.size() == limit || bytes > PAGE_BYTES) {
+                more = true;
+                break;
+            }
+            bytes += e.getKey().length() + Json.bytes(e.getValue().value).length + 40;
+            entries.addObject().put("key", e.getKey()).put("stamp", e.getValue().version)
+                    .set("data", e.getValue().value);
         }
         n.put("more", more).put("edition", revision);
         x.answer(200, Json.bytes(n));
@@ -281,7 +345,7 @@
                 x.answer(400, new byte[0]);
                 return;
             }
-            if (w.has("data") && w.get("data").toString().length() > 4096) {
+            if (w.has("data") && Json.bytes(w.get("data")).length > valueBytes) {
                 tooLarge++;
                 x.answer(400, new byte[0]);
                 return;
@@ -301,6 +365,9 @@
                 change(w.get("write").textValue(), w.get("data"), w.has("permit") ? w.get("permit").longValue() : 0);
             }
         }
+        if (shelf != null) {
+            shelf.commit();
+        }
         x.answer(200, Json.bytes(Json.object().put("edition", revision)));
         wake();
     }
--- a/src/test/java/org/landingridge/sim/Worker.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Worker.java
@@ -1,5 +1,4 @@
-package org.landingridge.sim;
-
+package org.landingridge.emulator;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -9,23 +8,33 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.landingridge.net.Http;
+import java.util.random.RandomGenerator;
 import org.landingridge.net.Http.Exchange;
+import org.landingridge.net.Loop;
+import org.landingridge.net.Http;
 import org.landingridge.wire.JobSpec;
 import org.landingridge.wire.Json;
 
 /** A stand-in for a worker: reports, executes commands, keeps its lease. */
-final class Worker implements Sim.Server {
+public final class Worker implements Server {
     private static final class Run {
         String status = "pulling";
         String why;
         int life;
     }
 
-    final String addr;
-    final Sim.Host host;
-    private final World world;
+    /** What the worker is told at its start. */
+    public record Config(String addr, String type, double cpus, long reportMs, long leaseMs, List<Node> nodes) {}
+
+    /** A controller, by its name and by the address that it serves on. */
+    public record Node(String host, String addr) {}
+
+    private final Config config;
+    private final Loop loop;
+    private final Http http;
+    private final Truth truth;
     private final Cloud.Box box;
+    private boolean dead;
     private final Map<String, Run> tasks = new LinkedHashMap<>();
     private final Set<String> images = new HashSet<>();
     private long session = 1;
@@ -36,43 +45,42 @@
     private boolean reporting;
     private boolean changed;
     private long lastReport = -10_000;
-    boolean hangs;
+    private boolean hangs;
     private final List<Runnable> whileHanging = new ArrayList<>();
 
-    Worker(World world, Cloud.Box box) {
-        this.world = world;
+    public Worker(Config config, Loop loop, Http http, RandomGenerator random, Truth truth, Cloud.Box box) {
+        this.config = config;
+        this.loop = loop;
+        this.http = http;
+        this.truth = truth;
         this.box = box;
-        this.addr = "w-" + box.id;
-        this.host = world.sim.host(box.id);
-        this.renewed = world.sim.now;
-        this.node = world.sim.random.nextInt(world.nodes.size());
-        world.sim.listen(addr, host, this);
-        world.workers.add(this);
+        this.renewed = loop.now();
+        this.node = random.nextInt(config.nodes.size());
         tick();
     }
 
-    void die() {
+    /** The machine stops at once, with all that is on it. */
+    public void die() {
         tasks.forEach((name, run) -> over(name, run, null));
-        host.kill();
-        world.workers.remove(this);
+        dead = true;
     }
 
-    int images() {
+    public int images() {
         return images.size();
     }
 
-    String zone() {
-        return box.zone;
+    public Cloud.Box box() {
+        return box;
     }
 
     /** A task that runs here, or null. */
-    String running() {
+    public String running() {
         return tasks.entrySet().stream().filter(e -> e.getValue().status.equals("running"))
                 .map(e -> e.getKey().substring(0, e.getKey().lastIndexOf('#'))).findFirst().orElse(null);
     }
 
     /** A task ends with an error. */
-    void fail(String task) {
+    public void fail(String task) {
         tasks.forEach((name, run) -> {
             if (name.startsWith(task + "#") && run.status.equals("running")) {
                 over(name, run, "error");
@@ -80,7 +88,7 @@
         });
     }
 
-    void hang(boolean on) {
+    public void hang(boolean on) {
         hangs = on;
         if (!on) {
             lease();
@@ -91,30 +99,33 @@
     }
 
     private void tick() {
+        if (dead) {
+            return;
+        }
         // A machine that hangs past its lease is as good as one that killed its tasks: they never run on.
         lease();
         if (!hangs) {
-            long since = world.sim.now - lastReport;
-            if (!reporting && (since >= World.REPORT_MS || changed && since >= 500)) {
+            long since = loop.now() - lastReport;
+            if (!reporting && (since >= config.reportMs || changed && since >= 500)) {
                 report();
             }
         }
-        host.after(100, this::tick);
+        loop.after(100, this::tick);
     }
 
     private void lease() {
-        if (world.sim.now - renewed > World.LEASE_MS) {
+        if (loop.now() - renewed > config.leaseMs) {
             tasks.forEach((name, run) -> over(name, run, null));
             tasks.clear();
             session++;
-            renewed = world.sim.now;
+            renewed = loop.now();
             changed = true;
         }
     }
 
     private byte[] state() {
         ObjectNode n = Json.object();
-        n.put("box", box.id).put("addr", addr).put("rig", Cloud.TYPE).put("yard", box.zone).put("standby", box.spot)
+        n.put("box", box.id).put("addr", config.addr).put("rig", config.type).put("yard", box.zone).put("standby", box.spot)
                 .put("shift", session).put("tally", ++seq).put("baton", token);
         ArrayNode list = n.putArray("takes");
         tasks.forEach((name, run) -> {
@@ -131,10 +142,10 @@
     private void report() {
         reporting = true;
         changed = false;
-        lastReport = world.sim.now;
-        long sent = world.sim.now;
+        lastReport = loop.now();
+        long sent = loop.now();
         long mine = session;
-        world.sim.client(host).call(world.nodeAddr(node), "POST", "/hello", state(), 4_000, reply -> {
+        http.call(config.nodes.get(node).addr, "POST", "/hello", state(), 4_000, reply -> {
             if (hangs) {
                 whileHanging.add(() -> answered(reply, sent, mine));
             } else {
@@ -144,9 +155,12 @@
     }
 
     private void answered(Http.Reply reply, long sent, long mine) {
+        if (dead) {
+            return;
+        }
         reporting = false;
         lease();
-        if (reply.is(200) && world.sim.now - sent <= 4_000) {
+        if (reply.is(200) && loop.now() - sent <= 4_000) {
             JsonNode body = Json.parse(reply.body());
             long given = body.path("baton").longValue();
             if (session == mine && given >= token && body.has("baton")) {
@@ -158,8 +172,8 @@
                 execute(body.get("cues"));
             }
         } else if (reply.is(421) && Json.parse(reply.body()).has("desk")) {
-            int to = world.indexOf(Json.parse(reply.body()).get("desk").textValue());
-            if (to != node) {
+            int to = indexOf(Json.parse(reply.body()).get("desk").textValue());
+            if (to >= 0 && to != node) {
                 node = to;
                 changed = true;
                 return;
@@ -170,10 +184,19 @@
         }
     }
 
+    private int indexOf(String host) {
+        for (int i = 0; i < config.nodes.size(); i++) {
+            if (config.nodes.get(i).host.equals(host)) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
     private void next() {
-        node = (node + 1) % world.nodes.size();
-        lastReport = world.sim.now;
-        host.after(1_000, () -> lastReport = -10_000);
+        node = (node + 1) % config.nodes.size();
+        lastReport = loop.now();
+        loop.after(1_000, () -> lastReport = -10_000);
     }
 
     private void execute(JsonNode cues) {
@@ -204,19 +227,21 @@
             return;
         }
         String task = name.substring(0, name.lastIndexOf('#'));
-        JobSpec spec = world.rules.specs.get(task.substring(0, task.lastIndexOf('/')));
+        JobSpec spec = truth.spec(task.substring(0, task.lastIndexOf('/')));
         Run run = new Run();
         double cpus = 0;
         for (Map.Entry<String, Run> e : tasks.entrySet()) {
             if (!e.getValue().status.equals("ended")) {
-                cpus += world.rules.specs.get(e.getKey().substring(0, e.getKey().lastIndexOf('/'))).cpus();
+                cpus += truth.spec(e.getKey().substring(0, e.getKey().lastIndexOf('/'))).cpus();
                 if (e.getKey().startsWith(task + "#")) {
                     run.why = "busy";
                 }
             }
         }
         tasks.put(name, run);
-        if (run.why == null && cpus + spec.cpus() > 4 + 1e-6) {
+        if (spec == null) {
+            run.why = "unknown";
+        } else if (run.why == null && cpus + spec.cpus() > config.cpus + 1e-6) {
             run.why = "full";
         }
         if (run.why != null) {
@@ -227,16 +252,19 @@
         later(name, run, life, images.add(spec.image()) ? 300 : 20, () -> {
             run.status = "running";
             changed = true;
-            world.rules.starts(task, box.id, Cloud.TYPE, box.zone, box.spot);
+            truth.starts(task, box.id, config.type, box.zone, box.spot);
             if (!spec.service()) {
-                long takes = world.rules.completed.contains(task) ? 10 : Math.round(spec.estimateS() * 1000);
+                long takes = truth.completed(task) ? 10 : Math.round(spec.estimateS() * 1000);
                 later(name, run, life, takes, () -> over(name, run, "done"));
             }
         });
     }
 
     private void later(String name, Run run, int life, long ms, Runnable what) {
-        host.after(ms, () -> {
+        loop.after(ms, () -> {
+            if (dead) {
+                return;
+            }
             if (hangs) {
                 whileHanging.add(() -> {
                     if (tasks.get(name) == run && run.life == life && !run.status.equals("ended")) {
@@ -251,7 +279,7 @@
 
     private void over(String name, Run run, String why) {
         if (run.status.equals("running")) {
-            world.rules.ends(name.substring(0, name.lastIndexOf('#')), "done".equals(why));
+            truth.ends(name.substring(0, name.lastIndexOf('#')), "done".equals(why));
         }
         run.status = "ended";
         run.why = why;
@@ -261,6 +289,9 @@
 
     @Override
     public void serve(Exchange x) {
+        if (dead) {
+            return;
+        }
         if (hangs) {
             whileHanging.add(() -> serve(x));
             return;
--- a/src/test/java/org/landingridge/sim/World.java
+++ b/experiment/src/main/java/org/landingridge/experiment/World.java
@@ -1,21 +1,29 @@
-package org.landingridge.sim;
-
+package org.landingridge.experiment;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import org.landingridge.Controller;
-import org.landingridge.config.Policy;
-import org.landingridge.config.Settings;
+import org.landingridge.controller.Controller;
+import org.landingridge.controller.config.Policy;
+import org.landingridge.controller.config.Settings;
+import org.landingridge.controller.store.Keys;
+import org.landingridge.emulator.Cloud;
+import org.landingridge.emulator.Rules;
+import org.landingridge.emulator.Sim;
+import org.landingridge.emulator.StateService;
+import org.landingridge.emulator.Worker;
 import org.landingridge.wire.JobSpec;
 import org.landingridge.wire.Json;
 import org.landingridge.wire.Priority;
 
 /** Some controllers among stand-ins for state service, cloud, workers and users. */
-final class World {
+public final class World {
+    static final String TYPE = "t4";
+    static final long LAG_MS = 4_000;
     static final long REPORT_MS = 1_000;
     static final long LEASE_MS = 8_000;
     static final long CANCEL_MS = 15_000;
@@ -24,7 +32,9 @@
     final StateService state;
     final Cloud cloud;
     final Rules rules;
+    /** Of machines that are up. */
     final List<Worker> workers = new ArrayList<>();
+    private final Map<String, Sim.Host> workerHosts = new HashMap<>();
     final List<Node> nodes = new ArrayList<>();
     private final Sim.Host users;
     private final Map<String, Settings.Team> teams = new LinkedHashMap<>();
@@ -54,7 +64,7 @@
             Settings settings = new Settings("rig-" + index, "a", new InetSocketAddress("127.0.0.1", 1),
                     new InetSocketAddress("127.0.0.1", 2), peers, "cloud", "state-" + index, List.of("a", "b"), 25,
                     teams, List.of(), new Settings.Workers(REPORT_MS / 1000.0, LEASE_MS / 1000.0, CANCEL_MS / 1000.0),
-                    new Settings.State(200, 20, 4, 8), new Settings.Cloud(5, Cloud.LAG_MS / 1000.0),
+                    new Settings.State(200, 20, 4, 8), new Settings.Cloud(5, LAG_MS / 1000.0),
                     new Settings.Machine(1, 200, 1000));
             controller = new Controller(host, sim.client(host), (to, message) -> {
                 Node peer = nodes.get(indexOf(to));
@@ -63,7 +73,7 @@
                 sim.deliver(host, peer.host, () -> {
                     if (peer.host.life == life) {
                         try {
-                            peer.controller.received(org.landingridge.peer.Message.decode(
+                            peer.controller.received(org.landingridge.controller.peer.Message.decode(
                                     new java.io.DataInputStream(new java.io.ByteArrayInputStream(bytes))));
                         } catch (java.io.IOException e) {
                             throw new java.io.UncheckedIOException(e);
@@ -90,15 +100,26 @@
     World(long seed, double teamLimit, int controllers) {
         this.controllers = controllers;
         sim = new Sim(seed);
-        rules = new Rules(sim, CANCEL_MS);
+        users = sim.host("users");
+        rules = new Rules(users, CANCEL_MS);
         teams.put("red", new Settings.Team("red", 8, teamLimit, 0, 0));
         teams.put("blue", new Settings.Team("blue", 8, 0, 0, 0));
         rules.limits.put("red", teamLimit);
-        users = sim.host("users");
         stateHost = sim.host("state");
-        state = new StateService(sim, stateHost);
+        state = new StateService(stateHost);
         Sim.Host cloudHost = sim.host("cloud");
-        cloud = new Cloud(sim, cloudHost, this);
+        cloud = new Cloud(cloudHost, sim.random, new Cloud.Offer(TYPE, 4, 8, List.of("a", "b"), 3_000, LAG_MS),
+                new Cloud.Machines() {
+                    @Override
+                    public String boot(Cloud.Box box) {
+                        return bootWorker(box);
+                    }
+
+                    @Override
+                    public void kill(Cloud.Box box) {
+                        killWorker(box.id);
+                    }
+                }, rules);
         sim.listen("cloud", cloudHost, cloud);
         for (int i = 0; i < controllers; i++) {
             nodes.add(new Node(i));
@@ -106,6 +127,29 @@
         everySecond();
     }
 
+    private String bootWorker(Cloud.Box box) {
+        Sim.Host host = sim.host(box.id);
+        String addr = "w-" + box.id;
+        List<Worker.Node> known = new ArrayList<>();
+        for (int i = 0; i < controllers; i++) {
+            known.add(new Worker.Node("rig-" + i, nodeAddr(i)));
+        }
+        Worker worker = new Worker(new Worker.Config(addr, TYPE, 4, REPORT_MS, LEASE_MS, known), host,
+                sim.client(host), sim.random, rules, box);
+        sim.listen(addr, host, worker);
+        workers.add(worker);
+        workerHosts.put(box.id, host);
+        return addr;
+    }
+
+    private void killWorker(String id) {
+        workers.stream().filter(w -> w.box().id.equals(id)).findFirst().ifPresent(w -> {
+            workers.remove(w);
+            w.die();
+            workerHosts.remove(id).kill();
+        });
+    }
+
     private void everySecond() {
         rules.everySecond();
         users.after(1_000, this::everySecond);
@@ -121,7 +165,7 @@
 
     /** The controller that the state service names as the leader, or null. */
     Node leader() {
-        JsonNode value = state.value(Controller.ROOT + "leader");
+        JsonNode value = state.value(Keys.LEADER);
         return value == null ? null : nodes.get(indexOf(value.get("host").textValue()));
     }
 
--- a/src/test/java/org/landingridge/sim/GrownTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/GrownTest.java
@@ -1,4 +1,4 @@
-package org.landingridge.sim;
+package org.landingridge.experiment;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -70,8 +70,8 @@
         w.cloud.capacity = 500;
         long until = 45_000 + 3 * World.LEASE_MS + 12_000;
         for (long t = 45_000; t < until; t += 500) {
-            w.at(t, () -> w.workers.stream().filter(x -> x.zone().equals("a")).forEach(x ->
-                    w.nodes.forEach(n -> w.sim.cut(n.host.name, x.host.name))));
+            w.at(t, () -> w.workers.stream().filter(x -> x.box().zone.equals("a")).forEach(x ->
+                    w.nodes.forEach(n -> w.sim.cut(n.host.name, x.box().id))));
         }
         w.sim.run(until);
         assertEquals(2 * SERVICES, w.rules.places.values().stream().filter(p -> p.endsWith("@b")).count(),
--- a/src/test/java/org/landingridge/sim/HistoriesTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/HistoriesTest.java
@@ -1,4 +1,4 @@
-package org.landingridge.sim;
+package org.landingridge.experiment;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.landingridge.emulator.Worker;
 
 /** Whole histories of three controllers among stand-ins, every rule checked throughout. */
 class HistoriesTest {
@@ -141,7 +142,7 @@
         }
         w.sim.run(20_000);
         int starts = w.rules.starts;
-        w.workers.forEach(x -> w.sim.cut(w.leader().host.name, x.host.name));
+        w.workers.forEach(x -> w.sim.cut(w.leader().host.name, x.box().id));
         w.sim.run(20_000 + 4 * World.LEASE_MS);
         assertEquals(starts, w.rules.starts);
         w.sim.heal();
@@ -161,7 +162,7 @@
                 w.sim.cut(leader.host.name, "state");
                 w.nodes.forEach(n -> w.sim.cut(leader.host.name, n.host.name));
                 if (seed % 2 == 0) {
-                    w.workers.forEach(x -> w.sim.cut(leader.host.name, x.host.name));
+                    w.workers.forEach(x -> w.sim.cut(leader.host.name, x.box().id));
                 }
             }
         });
@@ -211,7 +212,7 @@
         }
         w.at(20_000, () -> {
             w.workers.stream().filter(x -> w.rules.places.values().stream().anyMatch(p ->
-                    p.startsWith(x.host.name + "@"))).forEach(x -> x.hang(true));
+                    p.startsWith(x.box().id + "@"))).forEach(x -> x.hang(true));
             w.leader().crash(20_000);
         });
         w.at(26_500, () -> w.workers.forEach(x -> x.hang(false)));
@@ -277,7 +278,7 @@
         World w = new World(73, 0);
         w.submit(World.job(1, "blue", true, 1, 1, 0));
         w.sim.run(20_000);
-        w.workers.forEach(x -> w.sim.cut(w.leader().host.name, x.host.name));
+        w.workers.forEach(x -> w.sim.cut(w.leader().host.name, x.box().id));
         w.submit(World.job(2, "blue", true, 1, 1, 0));
         w.sim.run(32_000);
         assertTrue(w.running("job-000002", 1), "it was started by the answer to a carried report");
--- a/src/test/java/org/landingridge/sim/RulesTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/RulesTest.java
@@ -1,4 +1,4 @@
-package org.landingridge.sim;
+package org.landingridge.experiment;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
+import org.landingridge.emulator.Rules;
+import org.landingridge.emulator.Sim;
 import org.landingridge.wire.JobSpec;
 import org.landingridge.wire.Priority;
 
@@ -15,7 +17,7 @@
 
     private static void caught(String rule, Consumer<Rules> history) {
         Sim sim = new Sim(1);
-        Rules rules = new Rules(sim, 1_000);
+        Rules rules = new Rules(sim.host("rules"), 1_000);
         rules.specs.put(ID, new JobSpec(ID, "c", "red", false, Priority.NORMAL, 4, 3, 0, 1, "i", 1, List.of("t4"), "a",
                 true, false, false, 1, 0, 0, null));
         rules.limits.put("red", 5.0);
--- a/src/main/java/org/landingridge/net/Http.java
+++ b/net/src/main/java/org/landingridge/net/Http.java
@@ -1,5 +1,4 @@
 package org.landingridge.net;
-
 import java.util.function.Consumer;
 
 /** HTTP as the core sees it: calls that always come back, once, and requests that are answered later. */
@@ -23,8 +22,14 @@
     interface Exchange {
         String method();
 
+        /** The path without the query. */
         String path();
 
+        /** What follows the question mark; empty where nothing does. */
+        default String query() {
+            return "";
+        }
+
         byte[] body();
 
         /** Answers; only the first answer counts. */
--- a/src/main/java/org/landingridge/net/HttpClient.java
+++ b/net/src/main/java/org/landingridge/net/HttpClient.java
@@ -1,5 +1,4 @@
 package org.landingridge.net;
-
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
--- a/src/main/java/org/landingridge/net/HttpServer.java
+++ b/net/src/main/java/org/landingridge/net/HttpServer.java
@@ -1,5 +1,4 @@
 package org.landingridge.net;
-
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.io.Receiver;
@@ -111,6 +110,11 @@
             return exchange.getRequestPath();
         }
 
+        @Override
+        public String query() {
+            return exchange.getQueryString();
+        }
+
         @Override
         public byte[] body() {
             return body;
--- a/src/main/java/org/landingridge/wire/CloudMachine.java
+++ b/wire/src/main/java/org/landingridge/wire/CloudMachine.java
@@ -1,5 +1,4 @@
 package org.landingridge.wire;
-
 import com.fasterxml.jackson.databind.JsonNode;
 
 /** One row of the cloud's machine list. */
--- a/src/main/java/org/landingridge/wire/Commands.java
+++ b/wire/src/main/java/org/landingridge/wire/Commands.java
@@ -1,5 +1,4 @@
 package org.landingridge.wire;
-
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
--- a/src/main/java/org/landingridge/wire/JobSpec.java
+++ b/wire/src/main/java/org/landingridge/wire/JobSpec.java
@@ -1,5 +1,4 @@
 package org.landingridge.wire;
-
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
--- a/src/main/java/org/landingridge/wire/Json.java
+++ b/wire/src/main/java/org/landingridge/wire/Json.java
@@ -1,5 +1,4 @@
 package org.landingridge.wire;
-
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParseException;
--- a/src/main/java/org/landingridge/wire/MachineType.java
+++ b/wire/src/main/java/org/landingridge/wire/MachineType.java
@@ -1,5 +1,4 @@
 package org.landingridge.wire;
-
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/org/landingridge/wire/JobSpecTest.java
+++ b/wire/src/test/java/org/landingridge/wire/JobSpecTest.java
@@ -1,5 +1,4 @@
 package org.landingridge.wire;
-
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
