--- a/controller/src/main/java/org/landingridge/controller/cli/CheckCommand.java
+++ b/controller/src/main/java/org/landingridge/controller/cli/CheckCommand.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.cli;
+
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import org.landingridge.controller.config.BadSettings;
--- a/controller/src/main/java/org/landingridge/controller/cli/Main.java
+++ b/controller/src/main/java/org/landingridge/controller/cli/Main.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.cli;
+
 import java.util.Locale;
 import java.util.Set;
 import picocli.CommandLine.Command;
--- a/controller/src/main/java/org/landingridge/controller/cli/RunCommand.java
+++ b/controller/src/main/java/org/landingridge/controller/cli/RunCommand.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.cli;
+
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.SplittableRandom;
--- a/controller/src/main/java/org/landingridge/controller/config/Policy.java
+++ b/controller/src/main/java/org/landingridge/controller/config/Policy.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.config;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.networknt.schema.InputFormat;
--- a/controller/src/main/java/org/landingridge/controller/fleet/Attempt.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Attempt.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.fleet;
+
 import org.landingridge.wire.JobSpec;
 
 /** One try of a task on one machine, from the moment its start may be sent until it is certainly over. */
--- a/controller/src/main/java/org/landingridge/controller/fleet/BootTimes.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/BootTimes.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.fleet;
+
 import java.util.HashMap;
 import java.util.Map;
 import org.HdrHistogram.IntCountsHistogram;
--- a/controller/src/main/java/org/landingridge/controller/fleet/LiveJob.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/LiveJob.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.fleet;
+
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
--- a/controller/src/main/java/org/landingridge/controller/fleet/Machine.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Machine.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.fleet;
+
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
--- a/controller/src/main/java/org/landingridge/controller/jobs/Job.java
+++ b/controller/src/main/java/org/landingridge/controller/jobs/Job.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.jobs;
+
 import java.util.BitSet;
 import org.landingridge.wire.JobSpec;
 
--- a/controller/src/main/java/org/landingridge/controller/lead/Leadership.java
+++ b/controller/src/main/java/org/landingridge/controller/lead/Leadership.java
@@ -1,9 +1,7 @@
 package org.landingridge.controller.lead;
+
 import com.fasterxml.jackson.databind.JsonNode;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.landingridge.controller.peer.Message;
 import org.landingridge.controller.peer.PeerNet;
@@ -38,11 +36,8 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
     /** Steady clocks differ by 0.05 %; a tenth of a percent and some milliseconds cover both sides. */
-    private static final double DRIFT = 0.001;
-    private static final long MARGIN_MS = 60;
-    /** How long a promise lasts. A fresh process leads no sooner: it may have forgotten one. */
-    static final long PROMISE_MS = 2_500;
-    private static final long PROBE_MS = 700;
+    static final double DRIFT = 0.001;
+    static final long MARGIN_MS = 60;
     private final StateClient client;
     private final Mirror mirror;
     private final Loop loop;
@@ -71,12 +66,7 @@
     /** The leader that has stepped down by its own word, by its token: its key may be replaced. */
     private long handedOver;
     private final long started;
-    private long promisedUntil = Long.MIN_VALUE / 2;
-    private boolean probing;
-    private long unusableAt = Long.MIN_VALUE / 2;
-    private long asks;
-    private final Map<Long, Long> askedAt = new LinkedHashMap<>();
-    private final Map<String, Long> promises = new HashMap<>();
+    private final Promises promises;
 
     public Leadership(StateClient client, Mirror mirror, Loop loop, RandomGenerator random, String key, String host,
             long holdMs, List<String> others, PeerNet peers, Listener listener) {
@@ -92,6 +82,7 @@
         this.listener = listener;
         this.others = List.copyOf(others);
         this.peers = peers;
+        this.promises = new Promises(client, loop, peers, key, host, this.others);
         this.started = loop.now();
     }
 
@@ -193,13 +184,13 @@
         }
         boolean mine = host.equals(leaderHost);
         boolean given = handedOver != 0 && handedOver == mirror.version(key);
-        if (leaderHost != null && !mine && !given || loop.now() < promisedUntil) {
+        if (leaderHost != null && !mine && !given || promises.bound()) {
             return;
         }
         // An earlier process of this host may have promised a leader not to lead. No such promise binds where the last
         // leader was an earlier process of this very host, which is dead, or where no one has led yet.
         boolean free = mine || given || host.equals(lastHost) || mirror.revision() == 0;
-        if (!free && loop.now() - started < PROMISE_MS * 1.01) {
+        if (!free && loop.now() - started < Promises.LIFE_MS * 1.01) {
             return;
         }
         to(State.CLAIMING);
@@ -343,57 +334,21 @@
 
     /** Asks every other controller not to lead for a while: the state service does not answer this one. */
     private void ask() {
-        long number = ++asks;
-        askedAt.put(number, loop.now());
-        if (askedAt.size() > 20) {
-            askedAt.remove(askedAt.keySet().iterator().next());
-        }
-        for (String other : others) {
-            peers.send(other, new Message.Ask(host, token, number));
-        }
+        promises.ask(token);
     }
 
+    /** Another controller asks for a promise; whoever leads, or may be about to, gives none. */
     public void asked(Message.Ask ask) {
-        if (leads() || state == State.CLAIMING) {
-            peers.send(ask.host(), new Message.Refuse(host, ask.token(), ask.number()));
-        } else if (loop.now() - unusableAt < PROBE_MS) {
-            promise(ask);
-        } else if (!probing) {
-            // Whoever can use the state service should lead: then there is no promise.
-            probing = true;
-            client.probe(key, PROBE_MS, answer -> {
-                probing = false;
-                if (answer.status() == Status.REFUSED || answer.status() == Status.UNKNOWN) {
-                    unusableAt = loop.now();
-                    if (!leads() && state != State.CLAIMING) {
-                        promise(ask);
-                    }
-                } else {
-                    peers.send(ask.host(), new Message.Refuse(host, ask.token(), ask.number()));
-                }
-            });
-        }
-    }
-
-    /** From here on this controller keeps from claiming, by its own clock, for longer than the leader will count. */
-    private void promise(Message.Ask ask) {
-        promisedUntil = loop.now() + (long) (PROMISE_MS * (1 + DRIFT));
-        peers.send(ask.host(), new Message.Grant(host, ask.token(), ask.number()));
+        promises.asked(ask, () -> leads() || state == State.CLAIMING);
     }
 
     public void granted(Message.Grant grant) {
-        Long sent = askedAt.get(grant.number());
-        if (!leads() || grant.token() != token || sent == null || !others.contains(grant.host())) {
+        if (!leads() || grant.token() != token) {
             return;
         }
-        promises.merge(grant.host(), sent, Math::max);
+        long until = promises.granted(grant);
         // Promises extend a right that has not run out. They never revive one: in between, someone may have led.
-        if (loop.now() >= rightUntil || promises.size() < others.size()) {
-            return;
-        }
-        long from = promises.values().stream().mapToLong(Long::longValue).min().orElseThrow();
-        long until = from + (long) (PROMISE_MS * (1 - DRIFT)) - MARGIN_MS;
-        if (until > rightUntil) {
+        if (loop.now() < rightUntil && until > rightUntil) {
             rightUntil = until;
             to(State.PROMISED);
         }
@@ -406,7 +361,7 @@
         // Someone else can use the state service. One more try of our own, then the lead goes to that controller.
         long mine = hold;
         long sent = loop.now();
-        client.renew(mine, PROBE_MS, answer -> {
+        client.renew(mine, Promises.PROBE_MS, answer -> {
             if (!leads() || hold != mine) {
                 return;
             }
@@ -433,7 +388,6 @@
         hold = 0;
         rightUntil = Long.MIN_VALUE / 2;
         promises.clear();
-        askedAt.clear();
         claimNotBefore = loop.now() + holdMs;
         to(State.FOLLOWING);
         listener.deposed();
--- /dev/null
+++ b/controller/src/main/java/org/landingridge/controller/lead/Promises.java
@@ -0,0 +1,115 @@
+package org.landingridge.controller.lead;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import org.landingridge.controller.peer.Message;
+import org.landingridge.controller.peer.PeerNet;
+import org.landingridge.controller.store.StateClient;
+import org.landingridge.controller.store.StateClient.Status;
+import org.landingridge.net.Loop;
+
+/**
+ * Words given over {@code back} not to take the lead for a while: with those of every other controller a leader goes on
+ * through an outage of the state service. A promise counts for the leader from when it was asked for, for the one who
+ * gives it from when it was given, drift on both sides.
+ */
+final class Promises {
+    /** How long a promise lasts. A fresh process leads no sooner: it may have forgotten one. */
+    static final long LIFE_MS = 2_500;
+    /** So long a probe of the state service may take, and its failure counts. */
+    static final long PROBE_MS = 700;
+    private static final int MOST_ASKED = 20;
+    private final StateClient client;
+    private final Loop loop;
+    private final PeerNet peers;
+    private final String key;
+    private final String host;
+    private final List<String> others;
+    private long boundUntil = Long.MIN_VALUE / 2;
+    private boolean probing;
+    private long unusableAt = Long.MIN_VALUE / 2;
+    private long asks;
+    private final Map<Long, Long> askedAt = new LinkedHashMap<>();
+    /** When the newest ask was sent that each of the others has granted. */
+    private final Map<String, Long> granted = new HashMap<>();
+
+    Promises(StateClient client, Loop loop, PeerNet peers, String key, String host, List<String> others) {
+        this.client = client;
+        this.loop = loop;
+        this.peers = peers;
+        this.key = key;
+        this.host = host;
+        this.others = others;
+    }
+
+    /** True while this controller has promised not to lead. */
+    boolean bound() {
+        return loop.now() < boundUntil;
+    }
+
+    void ask(long token) {
+        long number = ++asks;
+        askedAt.put(number, loop.now());
+        if (askedAt.size() > MOST_ASKED) {
+            askedAt.remove(askedAt.keySet().iterator().next());
+        }
+        for (String other : others) {
+            peers.send(other, new Message.Ask(host, token, number));
+        }
+    }
+
+    void asked(Message.Ask ask, BooleanSupplier mayLead) {
+        if (mayLead.getAsBoolean()) {
+            refuse(ask);
+        } else if (loop.now() - unusableAt < PROBE_MS) {
+            promise(ask);
+        } else if (!probing) {
+            // Whoever can use the state service should lead: then there is no promise.
+            probing = true;
+            client.probe(key, PROBE_MS, answer -> {
+                probing = false;
+                if (answer.status() == Status.REFUSED || answer.status() == Status.UNKNOWN) {
+                    unusableAt = loop.now();
+                    if (!mayLead.getAsBoolean()) {
+                        promise(ask);
+                    }
+                } else {
+                    refuse(ask);
+                }
+            });
+        }
+    }
+
+    private void refuse(Message.Ask ask) {
+        peers.send(ask.host(), new Message.Refuse(host, ask.token(), ask.number()));
+    }
+
+    /** From here on this controller keeps from claiming, by its own clock, for longer than the leader will count. */
+    private void promise(Message.Ask ask) {
+        boundUntil = loop.now() + (long) (LIFE_MS * (1 + Leadership.DRIFT));
+        peers.send(ask.host(), new Message.Grant(host, ask.token(), ask.number()));
+    }
+
+    /** Until when nobody else will lead by the words given so far; long past while one of them is missing. */
+    long granted(Message.Grant grant) {
+        Long sent = askedAt.get(grant.number());
+        if (sent == null || !others.contains(grant.host())) {
+            return Long.MIN_VALUE;
+        }
+        granted.merge(grant.host(), sent, Math::max);
+        if (granted.size() < others.size()) {
+            return Long.MIN_VALUE;
+        }
+        long from = granted.values().stream().mapToLong(Long::longValue).min().orElseThrow();
+        return from + (long) (LIFE_MS * (1 - Leadership.DRIFT)) - Leadership.MARGIN_MS;
+    }
+
+    /** The lead is over: what was granted for it counts for nothing any more. */
+    void clear() {
+        granted.clear();
+        askedAt.clear();
+    }
+}
--- a/controller/src/main/java/org/landingridge/controller/obs/Busy.java
+++ b/controller/src/main/java/org/landingridge/controller/obs/Busy.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.obs;
+
 import java.util.Locale;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
--- a/controller/src/main/java/org/landingridge/controller/obs/IncidentReport.java
+++ b/controller/src/main/java/org/landingridge/controller/obs/IncidentReport.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.obs;
+
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import java.time.Instant;
 import java.util.ArrayDeque;
--- a/controller/src/main/java/org/landingridge/controller/obs/Metrics.java
+++ b/controller/src/main/java/org/landingridge/controller/obs/Metrics.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.obs;
+
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Meter;
--- a/controller/src/main/java/org/landingridge/controller/ops/CloudClient.java
+++ b/controller/src/main/java/org/landingridge/controller/ops/CloudClient.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.ops;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/controller/src/main/java/org/landingridge/controller/ops/Operations.java
+++ b/controller/src/main/java/org/landingridge/controller/ops/Operations.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.ops;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
@@ -38,6 +39,8 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Operations.class);
     private static final long RETENTION_MS = 30_000;
+    /** Names that one call to the cloud may give back. */
+    private static final int MOST_RETURNED = 100;
     private final Loop loop;
     private final RandomGenerator random;
     private final CloudClient cloud;
@@ -105,10 +108,13 @@
         return create(Kind.RENT, request);
     }
 
-    public Operation giveBack(List<String> machines) {
-        ObjectNode request = Json.object();
-        machines.forEach(request.putArray("boxes")::add);
-        return create(Kind.GIVE_BACK, request);
+    /** Gives the machines back, in as many calls as their number needs. */
+    public void giveBack(List<String> machines) {
+        for (int i = 0; i < machines.size(); i += MOST_RETURNED) {
+            ObjectNode request = Json.object();
+            machines.subList(i, Math.min(machines.size(), i + MOST_RETURNED)).forEach(request.putArray("boxes")::add);
+            create(Kind.GIVE_BACK, request);
+        }
     }
 
     private Operation create(Kind kind, ObjectNode request) {
--- a/controller/src/main/java/org/landingridge/controller/peer/Message.java
+++ b/controller/src/main/java/org/landingridge/controller/peer/Message.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.peer;
+
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
--- a/controller/src/main/java/org/landingridge/controller/peer/Relay.java
+++ b/controller/src/main/java/org/landingridge/controller/peer/Relay.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.peer;
+
 import java.util.HashMap;
 import java.util.Map;
 import org.landingridge.net.Http;
--- a/controller/src/main/java/org/landingridge/controller/peer/XnioPeerNet.java
+++ b/controller/src/main/java/org/landingridge/controller/peer/XnioPeerNet.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.peer;
+
 import com.google.common.net.HostAndPort;
 import java.io.ByteArrayInputStream;
 import java.io.DataInputStream;
--- a/controller/src/main/java/org/landingridge/controller/reign/Expectations.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Expectations.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.reign;
+
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
--- /dev/null
+++ b/controller/src/main/java/org/landingridge/controller/reign/Inventory.java
@@ -0,0 +1,114 @@
+package org.landingridge.controller.reign;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.landingridge.controller.fleet.Fleet;
+import org.landingridge.controller.fleet.Machine;
+import org.landingridge.controller.ops.Operations;
+import org.landingridge.wire.CloudMachine;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Holds the fleet against the cloud's lists, and gives back what is silent or never came up. */
+final class Inventory {
+    private static final Logger LOG = LoggerFactory.getLogger(Reign.class);
+    private final Parts parts;
+    private final Fleet fleet;
+    private final Operations operations;
+    private final Consumer<List<String>> gonePerList;
+    /** When a list that shows the machine was first asked for. */
+    private final Map<String, Long> listedAt = new HashMap<>();
+    private boolean listing;
+    private long nextList;
+    private boolean closed;
+
+    /** @param gonePerList told of machines that the cloud has taken, by its lists */
+    Inventory(Parts parts, Fleet fleet, Operations operations, Consumer<List<String>> gonePerList) {
+        this.parts = parts;
+        this.fleet = fleet;
+        this.operations = operations;
+        this.gonePerList = gonePerList;
+    }
+
+    void close() {
+        closed = true;
+    }
+
+    void forget(String id) {
+        listedAt.remove(id);
+    }
+
+    /** Machines that never came up, or have been silent for long, go back. */
+    void overdue(long now) {
+        List<String> back = new ArrayList<>();
+        for (Machine m : fleet.machines()) {
+            if (fleet.overdue(m, now, Math.round(parts.policy().bootMarginS() * 1000))) {
+                LOG.info("{} is silent or never came up: giving it back", m.id());
+                parts.incidents().say(m.id() + (m.state() == Machine.State.BOOTING ? " never came up"
+                        : m.state() == Machine.State.LAPSED ? " stays silent" : " fails its tasks") + ": given back");
+                fleet.leaving(m);
+                back.add(m.id());
+            }
+        }
+        operations.giveBack(back);
+    }
+
+    /** Asks for the cloud's list, where it is time to. */
+    void list() {
+        long asked = parts.loop().now();
+        if (listing || asked < nextList) {
+            return;
+        }
+        listing = true;
+        long lag = Math.round(parts.settings().cloudLimits().listLagS() * 1000);
+        parts.cloud().list(machines -> {
+            listing = false;
+            nextList = parts.loop().now() + Math.max(2_000, lag / 2);
+            if (closed || machines == null || !parts.lead().mayAct()) {
+                return;
+            }
+            for (CloudMachine c : machines) {
+                Machine m = fleet.machine(c.id());
+                if (m == null && !fleet.wasReturned(c.id()) && !c.status().equals("failed")) {
+                    // Nobody claims it: a rent that succeeded late, or there before us. It is used, or goes back idle.
+                    LOG.info("{} is listed and nobody's: taking it in", c.id());
+                    fleet.appeared(c.id(), c.addr(), c.type(), c.zone(), c.spot());
+                } else if (m != null && c.status().equals("failed")) {
+                    fleet.failed(m);
+                }
+                // What was given back may be listed for a while yet: it would be remembered for good.
+                if (fleet.machine(c.id()) != null) {
+                    listedAt.putIfAbsent(c.id(), asked);
+                }
+            }
+            absent(machines, asked, lag);
+        });
+    }
+
+    /**
+     * A machine that was listed and is absent is gone, unless the list is older than the one that showed it: lists lag
+     * by up to twice the usual and run backwards. Only silent machines are judged by it.
+     */
+    private void absent(List<CloudMachine> machines, long asked, long lag) {
+        Set<String> present = new HashSet<>();
+        machines.forEach(c -> present.add(c.id()));
+        List<String> gone = new ArrayList<>();
+        for (Machine m : fleet.machines()) {
+            Long first = listedAt.get(m.id());
+            if (first != null && !present.contains(m.id()) && asked - first > 2 * lag + 2_000
+                    && m.state() == Machine.State.LAPSED) {
+                gone.add(m.id());
+            }
+        }
+        if (!gone.isEmpty()) {
+            LOG.info("no longer listed: {}", gone);
+            parts.incidents().say("taken by the cloud: " + String.join(", ", gone));
+            gonePerList.accept(gone);
+        }
+    }
+}
--- a/controller/src/main/java/org/landingridge/controller/sched/Group.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Group.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.sched;
+
 import java.util.HashMap;
 import java.util.Map;
 import org.landingridge.wire.JobSpec;
--- a/controller/src/main/java/org/landingridge/controller/sched/Node.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Node.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.sched;
+
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
--- a/controller/src/main/java/org/landingridge/controller/sched/Peak.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Peak.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.sched;
+
 import java.util.ArrayDeque;
 import java.util.Deque;
 
--- a/controller/src/main/java/org/landingridge/controller/sched/Prices.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Prices.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.sched;
+
 import java.util.List;
 import org.landingridge.wire.MachineType;
 
--- a/controller/src/main/java/org/landingridge/controller/sched/Team.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Team.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.sched;
+
 import org.landingridge.wire.JobSpec;
 
 /** A team's guarantee and limit, and what its work uses now; 0 as a limit means none. */
--- a/controller/src/main/java/org/landingridge/controller/store/Document.java
+++ b/controller/src/main/java/org/landingridge/controller/store/Document.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.store;
+
 import com.fasterxml.jackson.databind.JsonNode;
 
 /** One stored value that the leader keeps up to date through the {@link GroupWriter}. */
--- a/controller/src/main/java/org/landingridge/controller/store/Mirror.java
+++ b/controller/src/main/java/org/landingridge/controller/store/Mirror.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.store;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/controller/src/main/java/org/landingridge/controller/store/StateClient.java
+++ b/controller/src/main/java/org/landingridge/controller/store/StateClient.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.store;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
--- a/controller/src/test/java/org/landingridge/controller/ops/NextActionTest.java
+++ b/controller/src/test/java/org/landingridge/controller/ops/NextActionTest.java
@@ -1,4 +1,5 @@
 package org.landingridge.controller.ops;
+
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.landingridge.controller.ops.NextAction.Observation.FAILED_TERMINAL;
 import static org.landingridge.controller.ops.NextAction.Observation.IN_PROGRESS;
--- a/emulator/src/main/java/org/landingridge/emulator/Cloud.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Cloud.java
@@ -1,4 +1,5 @@
 package org.landingridge.emulator;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
--- a/emulator/src/main/java/org/landingridge/emulator/Rules.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Rules.java
@@ -1,4 +1,5 @@
 package org.landingridge.emulator;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
--- a/experiment/src/main/java/org/landingridge/experiment/World.java
+++ b/experiment/src/main/java/org/landingridge/experiment/World.java
@@ -1,4 +1,5 @@
 package org.landingridge.experiment;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
--- a/net/src/main/java/org/landingridge/net/Http.java
+++ b/net/src/main/java/org/landingridge/net/Http.java
@@ -1,4 +1,5 @@
 package org.landingridge.net;
+
 import java.util.function.Consumer;
 
 /** HTTP as the core sees it: calls that always come back, once, and requests that are answered later. */
--- a/net/src/main/java/org/landingridge/net/HttpClient.java
+++ b/net/src/main/java/org/landingridge/net/HttpClient.java
@@ -1,4 +1,5 @@
 package org.landingridge.net;
+
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
--- a/net/src/main/java/org/landingridge/net/HttpServer.java
+++ b/net/src/main/java/org/landingridge/net/HttpServer.java
@@ -1,4 +1,5 @@
 package org.landingridge.net;
+
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.io.Receiver;
--- a/net/src/main/java/org/landingridge/net/XnioLoop.java
+++ b/net/src/main/java/org/landingridge/net/XnioLoop.java
@@ -1,4 +1,5 @@
 package org.landingridge.net;
+
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
--- a/wire/src/main/java/org/landingridge/wire/CloudMachine.java
+++ b/wire/src/main/java/org/landingridge/wire/CloudMachine.java
@@ -1,4 +1,5 @@
 package org.landingridge.wire;
+
 import com.fasterxml.jackson.databind.JsonNode;
 
 /** One row of the cloud's machine list. */
--- a/wire/src/main/java/org/landingridge/wire/Commands.java
+++ b/wire/src/main/java/org/landingridge/wire/Commands.java
@@ -1,4 +1,5 @@
 package org.landingridge.wire;
+
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
--- a/wire/src/main/java/org/landingridge/wire/Json.java
+++ b/wire/src/main/java/org/landingridge/wire/Json.java
@@ -1,4 +1,5 @@
 package org.landingridge.wire;
+
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParseException;
--- a/wire/src/main/java/org/landingridge/wire/MachineType.java
+++ b/wire/src/main/java/org/landingridge/wire/MachineType.java
@@ -1,4 +1,5 @@
 package org.landingridge.wire;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
--- a/wire/src/test/java/org/landingridge/wire/JobSpecTest.java
+++ b/wire/src/test/java/org/landingridge/wire/JobSpecTest.java
@@ -1,4 +1,5 @@
 package org.landingridge.wire;
+
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
