A local service in one command, and a probe of what history costs

Need: a newcomer could not run anything but the tests; what ended jobs cost was measured by hand. Pages of the roster and of finished tasks that hold nothing any more are deleted. A test at the core: a million ended jobs in a heap of 64 MB, as many requests until leading as with a thousand.

--- a/cli/src/main/java/org/landingridge/cli/Main.java
+++ b/cli/src/main/java/org/landingridge/cli/Main.java
@@ -10,7 +10,7 @@
         versionProvider = org.landingridge.controller.cli.Main.Version.class,
         description = "A cluster scheduler that treats a timeout as an unknown outcome.",
         subcommands = {RunCommand.class, CheckCommand.class, UserCommands.Submit.class, UserCommands.Show.class,
-            UserCommands.Cancel.class, UserCommands.Status.class},
+            UserCommands.Cancel.class, UserCommands.Status.class, LocalCommand.class, ProbeCommand.class},
         footer = {"", "Exit codes: 0 success, 1 failure, 2 bad usage or settings.",
             "LOG_LEVEL (error, info, debug) sets what is logged to standard error."})
 public final class Main implements Runnable {
--- /dev/null
+++ b/cli/src/main/java/org/landingridge/cli/ProbeCommand.java
@@ -0,0 +1,48 @@
+package org.landingridge.cli;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.landingridge.experiment.HistoryProbe;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+
+/** Measures what a history of ended jobs costs a controller. */
+@Command(name = "probe-history", mixinStandardHelpOptions = true,
+        description = "Start a controller beside a state service full of ended jobs, and measure it.")
+final class ProbeCommand implements Callable<Integer> {
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Option(names = "--jar", required = true, paramLabel = "FILE", description = "the controller's jar, of any version")
+    private Path jar;
+
+    @Option(names = "--ended", required = true, split = ",", paramLabel = "N", description = "how many jobs have ended")
+    private List<Integer> ended;
+
+    @Option(names = "--form", defaultValue = "SEGMENTS", description = "how they stand there: ${COMPLETION-CANDIDATES}")
+    private HistoryProbe.Form form;
+
+    @Option(names = "--limit", defaultValue = "60", paramLabel = "S",
+            description = "seconds until the controller must be ready (${DEFAULT-VALUE})")
+    private int limitS;
+
+    @Override
+    public Integer call() throws Exception {
+        if (!Files.isRegularFile(jar)) {
+            throw new ParameterException(spec.commandLine(), "--jar: there is no file " + jar);
+        }
+        System.out.println("form       ended      ready ms   requests   peak MB   failed");
+        boolean ok = true;
+        for (int n : ended) {
+            HistoryProbe.Result r = new HistoryProbe().measure(jar, form, n, limitS);
+            System.out.printf("%-10s %-10d %-10d %-10d %-9.1f %s%n", r.form(), r.ended(), r.readyMs(), r.requests(),
+                    r.peakKb() / 1024.0, String.join("; ", r.failed()));
+            ok &= r.failed().isEmpty();
+        }
+        return ok ? 0 : 1;
+    }
+}
--- a/controller/src/main/java/org/landingridge/controller/fleet/Roster.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Roster.java
@@ -109,6 +109,9 @@
         @Override
         public JsonNode render() {
             holding = new ArrayList<>();
+            if (ids.isEmpty()) {
+                return null;
+            }
             ObjectNode n = Json.object();
             Map<String, Integer> images = new LinkedHashMap<>();
             for (String id : ids.keySet()) {
--- a/controller/src/main/java/org/landingridge/controller/history/Compactor.java
+++ b/controller/src/main/java/org/landingridge/controller/history/Compactor.java
@@ -244,7 +244,7 @@
     private void write(List<Candidate> batch, Segment before, long version) {
         String key = Place.of(batch.get(0).id).key();
         long leader = leaderVersion.getAsLong();
-        Segment after = before;
+        Map<Integer, Ended> moving = new LinkedHashMap<>();
         List<Guard> guards = new ArrayList<>();
         List<Write> writes = new ArrayList<>();
         guards.add(new Guard(Keys.LEADER, leader));
@@ -257,7 +257,7 @@
                 contradicted.add(c.id);
                 continue;
             }
-            after = after.with(Place.of(c.id).offset(), c.ended);
+            moving.put(Place.of(c.id).offset(), c.ended);
             guards.add(new Guard(Keys.JOBS + c.id, c.version));
             writes.add(new Write(Keys.JOBS + c.id, null, 0));
         }
@@ -265,7 +265,7 @@
             idle(IDLE_MS);
             return;
         }
-        writes.add(new Write(key, after.json(), 0));
+        writes.add(new Write(key, before.with(moving).json(), 0));
         to(State.WRITING);
         nextAllowed = loop.now() + Math.round(1000 * writes.size() / (share * writeRps));
         client.commit(guards, writes, answer -> {
--- a/controller/src/main/java/org/landingridge/controller/progress/Progress.java
+++ b/controller/src/main/java/org/landingridge/controller/progress/Progress.java
@@ -157,6 +157,10 @@
         public JsonNode render() {
             rendered.addAll(fresh);
             fresh = new ArrayList<>();
+            if (chunks.isEmpty()) {
+                // No page outlives the load that it was made for.
+                return null;
+            }
             ObjectNode n = Json.object();
             chunks.forEach((name, bits) -> n.put(name, Base64.getEncoder().encodeToString(bits.toByteArray())));
             return n;
--- a/emulator/src/main/java/org/landingridge/emulator/StateService.java
+++ b/emulator/src/main/java/org/landingridge/emulator/StateService.java
@@ -49,6 +49,7 @@
     /** Requests so far, by client. */
     public final Map<String, Integer> requestsOf = new HashMap<>();
     private int requests;
+    private volatile int allRequests;
     private int writes;
     /** Requests, and puts and deletes, a second; 0 for no limit. Beyond them, and a second's worth of burst: 429. */
     public double rps;
@@ -98,6 +99,11 @@
         return e == null ? null : e.value;
     }
 
+    /** Requests so far. */
+    public int requests() {
+        return allRequests;
+    }
+
     /** Keys with a prefix, in order. */
     public List<String> keys(String prefix) {
         return List.copyOf(keys.subMap(prefix, prefix + Character.MAX_VALUE).keySet());
@@ -219,6 +225,7 @@
     @Override
     public void serve(Exchange x) {
         requests++;
+        allRequests++;
         if (!within(x)) {
             tooMany++;
             x.answer(429, new byte[0]);
--- /dev/null
+++ b/experiment/src/test/java/org/landingridge/experiment/AtSizeTest.java
@@ -0,0 +1,87 @@
+package org.landingridge.experiment;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.landingridge.controller.store.Keys;
+
+/** What a history of a million jobs costs: nothing that grows with it. */
+class AtSizeTest {
+    /** Three controllers and everything around them, in a process whose heap is that of one controller. */
+    public static void main(String[] args) {
+        int ended = Integer.parseInt(args[0]);
+        World w = new World(1, 10);
+        World.past(w.state, 0, ended);
+        World.Node leader = null;
+        while (leader == null || w.metric(leader, "landingridge_takeovers") != 1) {
+            w.sim.run(w.sim.now + 10);
+            leader = w.leader();
+            if (w.sim.now > 5_000) {
+                throw new AssertionError("nobody leads after 5 s");
+            }
+        }
+        System.out.println("requests " + w.state.requestsOf.get(leader.host.name));
+        // Old jobs, at the ends of the history and within: asked for, submitted once more, cancelled.
+        for (int n : new int[] {0, 6, 7, 511, 512, ended / 2, ended - 2, ended - 1}) {
+            boolean cancelled = n % 7 == 0;
+            String id = World.id(n);
+            w.rules.specs.put(id, World.job(n, "blue", false, 1 + n % 100, 1, 1));
+            w.rules.told.put(id, cancelled ? "cancelled" : "done");
+            if (cancelled) {
+                w.rules.cancelAsked.add(id);
+                w.rules.cancelledAt.put(id, 0L);
+            }
+            for (int t = 0; t < 1 + n % 100; t++) {
+                w.rules.completed.add(id + "/" + t);
+            }
+            for (int node = 0; node < 3; node++) {
+                w.askOnce(id, "poll", node);
+                w.askOnce(id, "submit", node);
+                w.askOnce(id, "cancel", node);
+            }
+        }
+        // New ones, and one that nobody submitted.
+        w.submit(World.job(ended + 10, "red", false, 5, 1, 2));
+        w.submit(World.job(ended + 20_000, "blue", true, 2, 1, 0));
+        w.at(20_000, () -> w.cancel(World.id(ended + 20_000)));
+        w.poll(World.id(ended + 30_000));
+        w.sim.run(40_000);
+        if (!w.rules.broken.isEmpty()) {
+            throw new AssertionError(w.rules.broken.toString());
+        }
+        for (var expected : List.of(World.id(ended + 10) + "=done", World.id(ended + 20_000) + "=cancelled")) {
+            String[] parts = expected.split("=");
+            if (!parts[1].equals(w.rules.told.get(parts[0]))) {
+                throw new AssertionError(parts[0] + " is " + w.rules.told.get(parts[0]));
+            }
+        }
+        // The leader dies, and the next one leads as soon.
+        int before = w.state.requestsOf.values().stream().mapToInt(Integer::intValue).sum();
+        w.leader().crash(1_000);
+        w.sim.run(50_000);
+        if (w.leader() == null || w.state.value(Keys.LEADER) == null) {
+            throw new AssertionError("nobody leads after the leader's death");
+        }
+        System.out.println("answered by " + (w.state.requestsOf.values().stream().mapToInt(Integer::intValue).sum()
+                - before) + " requests more");
+    }
+
+    private static int requests(int ended) throws IOException, InterruptedException {
+        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx64m", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), AtSizeTest.class.getName(),
+                "" + ended).redirectErrorStream(true).start();
+        String out = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(0, process.waitFor(), out);
+        return out.lines().filter(l -> l.startsWith("requests ")).mapToInt(l ->
+                Integer.parseInt(l.substring("requests ".length()))).findFirst().orElseThrow();
+    }
+
+    @Test
+    void aMillionEndedJobsInTheHeapOfOneController() throws IOException, InterruptedException {
+        assertEquals(requests(1_000), requests(1_000_000), "requests to the state service until leading");
+    }
+}
--- a/net/src/main/java/org/landingridge/net/HttpServer.java
+++ b/net/src/main/java/org/landingridge/net/HttpServer.java
@@ -47,6 +47,10 @@
         undertow.start();
     }
 
+    public void stop() {
+        undertow.stop();
+    }
+
     private void handle(HttpServerExchange exchange) {
         if (exchange.getRequestContentLength() > maxBody) {
             refuse(exchange);
