Emulator at size: places by job, paged lists, nanoseconds of the machine where work is measured

Need: experiments with thousands of machines. Rules looked at every place at each start; the cloud's list was not paged.

--- a/emulator/src/main/java/org/landingridge/emulator/Cloud.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Cloud.java
@@ -18,6 +18,8 @@
     /** What the one type of machines is, and how the cloud behaves. */
     public record Offer(String type, double cpus, double memoryGb, List<String> zones, long bootMs, long listLagMs) {}
 
+    private static final int PAGE = 500;
+
     /** What becomes of a machine that has booted, or is given back or taken. */
     public interface Machines {
         /** Starts the machine's worker; returns the address at which it takes commands. */
@@ -86,7 +88,7 @@
         while (lists.size() > 2 && lists.get(1).getKey() < loop.now() - 2 * offer.listLagMs()) {
             lists.remove(0);
         }
-        loop.after(500, this::snapshot);
+        loop.after(Math.max(500, offer.listLagMs() / 8), this::snapshot);
     }
 
     public Box rent(String zone, boolean spot) {
@@ -110,6 +112,31 @@
         }
     }
 
+    private static ObjectNode page(ArrayNode list, String query) {
+        String from = "";
+        int limit = PAGE;
+        for (String part : query.split("&")) {
+            if (part.startsWith("from=")) {
+                from = part.substring("from=".length());
+            } else if (part.startsWith("limit=")) {
+                limit = Math.min(PAGE, Integer.parseInt(part.substring("limit=".length())));
+            }
+        }
+        ObjectNode n = Json.object();
+        ArrayNode boxes = n.putArray("boxes");
+        boolean more = false;
+        for (JsonNode b : list) {
+            if (b.get("id").textValue().compareTo(from) > 0) {
+                if (boxes.size() == limit) {
+                    more = true;
+                    break;
+                }
+                boxes.add(b);
+            }
+        }
+        return n.put("more", more);
+    }
+
     @Override
     public void serve(Exchange x) {
         if (trouble) {
@@ -161,9 +188,7 @@
                     seen = l.getValue();
                 }
             }
-            ObjectNode n = Json.object().put("more", false);
-            n.set("boxes", seen);
-            x.answer(200, Json.bytes(n));
+            x.answer(200, Json.bytes(page(seen, x.query())));
         } else {
             x.answer(400, new byte[0]);
         }
--- a/emulator/src/main/java/org/landingridge/emulator/Rules.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Rules.java
@@ -19,6 +19,9 @@
     public final Set<String> cancelAsked = new HashSet<>();
     /** Where each task is, by task name. */
     public final Map<String, String> places = new HashMap<>();
+    /** The same by job, and what each team uses: looked up at each start. */
+    private final Map<String, Map<String, String>> placesOf = new HashMap<>();
+    private final Map<String, Double> used = new HashMap<>();
     public final Set<String> completed = new HashSet<>();
     public final Map<String, Double> limits = new HashMap<>();
     private final Loop loop;
@@ -65,36 +68,33 @@
             broke("wrong_place", task + " on " + machine);
         }
         int here = 0;
-        for (Map.Entry<String, String> e : places.entrySet()) {
-            if (e.getKey().startsWith(id + "/")) {
-                boolean same = e.getValue().endsWith("@" + zone);
-                if (spec.oneZone() && !same) {
-                    broke("wrong_place", task + " in another zone than " + e.getKey());
-                }
-                here += same ? 1 : 0;
+        for (Map.Entry<String, String> e : placesOf.getOrDefault(id, Map.of()).entrySet()) {
+            boolean same = e.getValue().endsWith("@" + zone);
+            if (spec.oneZone() && !same) {
+                broke("wrong_place", task + " in another zone than " + e.getKey());
             }
+            here += same ? 1 : 0;
         }
         if (spec.spread() && here + 1 > (spec.tasks() + 1) / 2) {
             broke("wrong_place", task + " makes too many of its job in " + zone);
         }
-        places.put(task, machine + "@" + zone);
+        String before = places.put(task, machine + "@" + zone);
+        placesOf.computeIfAbsent(id, i -> new HashMap<>()).put(task, machine + "@" + zone);
         late(task);
-        double used = 0;
-        for (String t : places.keySet()) {
-            JobSpec s = specs.get(t.substring(0, t.lastIndexOf('/')));
-            if (s.team().equals(spec.team())) {
-                used += s.cpus();
-            }
-        }
+        double uses = used.merge(spec.team(), before == null ? spec.cpus() : 0, Double::sum);
         double limit = limits.getOrDefault(spec.team(), 0.0);
-        if (limit > 0 && used > limit + 1e-6) {
-            broke("quota", spec.team() + " uses " + used + " of " + limit);
+        if (limit > 0 && uses > limit + 1e-6) {
+            broke("quota", spec.team() + " uses " + uses + " of " + limit);
         }
     }
 
     @Override
     public void ends(String task, boolean done) {
-        places.remove(task);
+        String id = task.substring(0, task.lastIndexOf('/'));
+        if (places.remove(task) != null) {
+            used.merge(specs.get(id).team(), -specs.get(id).cpus(), Double::sum);
+            placesOf.get(id).remove(task);
+        }
         if (done) {
             completed.add(task);
         }
--- a/emulator/src/main/java/org/landingridge/emulator/Sim.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Sim.java
@@ -33,7 +33,7 @@
 
         @Override
         public long nanos() {
-            return now * 1_000_000;
+            return measured ? System.nanoTime() : now * 1_000_000;
         }
 
         @Override
@@ -62,6 +62,8 @@
     private final Map<String, Server> servers = new HashMap<>();
     private final Map<String, Host> hosts = new HashMap<>();
     private final Set<String> cuts = new HashSet<>();
+    /** Nanoseconds are this machine's: they tell what work costs, and decide nothing. */
+    public boolean measured;
     /** What is sent into a cut is lost instead of held. */
     public boolean dropping;
     private final List<Runnable> held = new ArrayList<>();
--- a/emulator/src/main/java/org/landingridge/emulator/Worker.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Worker.java
@@ -111,7 +111,7 @@
                 report();
             }
         }
-        loop.after(100, this::tick);
+        loop.after(Math.max(100, config.reportMs / 20), this::tick);
     }
 
     private void lease() {
