--- a/emulator/src/main/java/org/landingridge/emulator/Sim.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Sim.java
@@ -83,6 +83,11 @@
         hosts.put(addr, host);
     }
 
+    /** Drops what a host that has died would have done, and what was cancelled. */
+    public void forget(Host host) {
+        events.removeIf(e -> e.host == host && e.life != host.life || e.cancelled[0]);
+    }
+
     public void run(long until) {
         while (!events.isEmpty() && events.peek().at <= until) {
             Event e = events.poll();
--- a/emulator/src/main/java/org/landingridge/emulator/StateService.java
+++ b/emulator/src/main/java/org/landingridge/emulator/StateService.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -32,7 +33,8 @@
     private final List<Change> log = new ArrayList<>();
     private final Map<Long, Long> leases = new HashMap<>();
     private final Map<Long, Long> lives = new HashMap<>();
-    private final List<Watch> watches = new ArrayList<>();
+    /** Open watches, with the timers that end them. */
+    private final Map<Watch, Loop.Timer> watches = new LinkedHashMap<>();
     private final Shelf shelf;
     private long revision;
     private long nextLease;
@@ -51,6 +53,7 @@
     private int requests;
     private volatile int allRequests;
     private int writes;
+    private int lastWrites;
     /** Requests, and puts and deletes, a second; 0 for no limit. Beyond them, and a second's worth of burst: 429. */
     public double rps;
     public double writeRps;
@@ -90,6 +93,7 @@
         mostRequests = Math.max(mostRequests, requests);
         mostWrites = Math.max(mostWrites, writes);
         requests = 0;
+        lastWrites = writes;
         writes = 0;
         loop.after(1_000, this::count);
     }
@@ -104,6 +108,17 @@
         return allRequests;
     }
 
+    /** Puts and deletes in the last whole second. */
+    public int lastWrites() {
+        return lastWrites;
+    }
+
+    /** Ends all watches without an answer, as the death of those who watch would. */
+    public void dropWatches() {
+        watches.values().forEach(Loop.Timer::cancel);
+        watches.clear();
+    }
+
     /** Keys with a prefix, in order. */
     public List<String> keys(String prefix) {
         return List.copyOf(keys.subMap(prefix, prefix + Character.MAX_VALUE).keySet());
@@ -172,9 +187,9 @@
         if (outage) {
             return;
         }
-        for (Watch w : new ArrayList<>(watches)) {
+        for (Watch w : new ArrayList<>(watches.keySet())) {
             if (w.after < forgotten || !events(w.prefix, w.after).isEmpty()) {
-                watches.remove(w);
+                watches.remove(w).cancel();
                 answer(w);
             }
         }
@@ -248,12 +263,11 @@
             if (wait == 0 || w.after < forgotten || !events(w.prefix, w.after).isEmpty()) {
                 answer(w);
             } else {
-                watches.add(w);
-                loop.after(wait, () -> {
-                    if (watches.remove(w)) {
+                watches.put(w, loop.after(wait, () -> {
+                    if (watches.remove(w) != null) {
                         answer(w);
                     }
-                });
+                }));
             }
         } else if (path.equals("/store")) {
             list(query, x);
--- /dev/null
+++ b/experiment/src/main/java/org/landingridge/experiment/Experiment.java
@@ -0,0 +1,115 @@
+package org.landingridge.experiment;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import com.networknt.schema.InputFormat;
+import com.networknt.schema.SchemaRegistry;
+import com.networknt.schema.SpecificationVersion;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.landingridge.controller.config.BadSettings;
+import org.landingridge.controller.config.Settings;
+
+/**
+ * What is to be played, read from a TOML file that {@code experiment.schema.json} describes.
+ *
+ * @param up    ordinary machines that are up at the start
+ * @param ended jobs that ended before, in segments or with a key each
+ */
+public record Experiment(String name, List<Long> seeds, int durationS, int controllers, int machines, int up,
+        double bootS, double reportS, double leaseS, Settings.State state, int ended, HistoryProbe.Form form,
+        Map<String, Settings.Team> teams, List<Arrivals> arrivals, List<Fault> faults) {
+
+    /** A class of jobs: so many at the start, and then by chance so many a minute. */
+    public record Arrivals(String jobClass, String team, boolean service, int tasksMin, int tasksMax, double cpus,
+            double runS, double perMinute, int initial, double untilS) {}
+
+    /** Something that goes wrong. */
+    public record Fault(double atS, Kind kind, double forS, int count, double share) {
+        public enum Kind {
+            CRASH_LEADER, CRASH_ALL, STATE_OUTAGE, CUT_LEADER_STATE, CUT_LEADER_WORKERS, HANG_MACHINES, LOSE_MACHINES,
+            LOST_ANSWERS
+        }
+    }
+
+    /** Reads and checks a file; what is wrong is said in one line with file, field and expectation. */
+    public static Experiment read(Path file) throws BadSettings {
+        JsonNode n;
+        try {
+            n = new TomlMapper().readTree(Files.readString(file, StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            throw new BadSettings(file + ": cannot be read as TOML: " + e.getMessage().lines().findFirst().orElse(""));
+        }
+        try (InputStream in = Experiment.class.getResourceAsStream("experiment.schema.json")) {
+            String errors = SchemaRegistry.withDefaultDialect(SpecificationVersion.DRAFT_2020_12)
+                    .getSchema(new String(in.readAllBytes(), StandardCharsets.UTF_8))
+                    .validate(n.toString(), InputFormat.JSON).stream().map(Object::toString)
+                    .collect(Collectors.joining("; "));
+            if (!errors.isEmpty()) {
+                throw new BadSettings(file + ": " + errors);
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException("the schema is part of the program", e);
+        }
+        return checked(file, n);
+    }
+
+    private static Experiment checked(Path file, JsonNode n) throws BadSettings {
+        Map<String, Settings.Team> teams = new LinkedHashMap<>();
+        for (JsonNode t : n.path("teams")) {
+            String name = t.get("name").textValue();
+            if (teams.put(name, new Settings.Team(name, t.get("cpus").doubleValue(), t.path("cpus_max").asDouble(0), 0, 0))
+                    != null) {
+                throw new BadSettings(file + ": teams: " + name + " is there twice, expected one of each name");
+            }
+        }
+        List<Arrivals> arrivals = new ArrayList<>();
+        int number = 0;
+        for (JsonNode a : n.path("arrivals")) {
+            String at = file + ": arrivals[" + number++ + "]";
+            Arrivals made = new Arrivals(a.get("class").textValue(), a.get("team").textValue(),
+                    a.path("service").asBoolean(false), a.path("tasks_min").asInt(1),
+                    a.path("tasks_max").asInt(Math.max(1, a.path("tasks_min").asInt(1))), a.path("cpus").asDouble(1),
+                    a.path("run_s").asDouble(10), a.path("per_minute").asDouble(0), a.path("initial").asInt(0),
+                    a.path("until_s").asDouble(Double.MAX_VALUE));
+            if (!teams.containsKey(made.team)) {
+                throw new BadSettings(at + ".team: expected a team of this file, got " + made.team);
+            }
+            if (made.tasksMax < made.tasksMin) {
+                throw new BadSettings(at + ".tasks_max: expected at least tasks_min, " + made.tasksMin);
+            }
+            arrivals.add(made);
+        }
+        List<Fault> faults = new ArrayList<>();
+        for (JsonNode f : n.path("faults")) {
+            faults.add(new Fault(f.get("at_s").doubleValue(),
+                    Fault.Kind.valueOf(f.get("kind").textValue().toUpperCase(java.util.Locale.ROOT)),
+                    f.path("for_s").asDouble(3), f.path("count").asInt(1), f.path("share").asDouble(0.2)));
+        }
+        JsonNode c = n.path("cluster");
+        JsonNode s = n.path("state");
+        int machines = c.path("machines").asInt(20);
+        int up = c.path("up").asInt(0);
+        if (up > machines) {
+            throw new BadSettings(file + ": cluster.up: expected at most cluster.machines, " + machines);
+        }
+        List<Long> seeds = new ArrayList<>();
+        n.get("seeds").forEach(x -> seeds.add(x.longValue()));
+        return new Experiment(n.get("name").textValue(), seeds, n.get("duration_s").intValue(),
+                c.path("controllers").asInt(3), machines, up, c.path("boot_s").asDouble(3), c.path("report_s").asDouble(1),
+                c.path("lease_s").asDouble(8),
+                new Settings.State(s.path("rps").asDouble(250), s.path("write_rps").asDouble(50),
+                        s.path("value_kb").asDouble(4), s.path("txn_ops").asInt(8)),
+                n.path("history").path("ended").asInt(0),
+                n.path("history").path("form").asText("segments").equals("keys") ? HistoryProbe.Form.KEYS
+                        : HistoryProbe.Form.SEGMENTS, teams, arrivals, faults);
+    }
+}
--- /dev/null
+++ b/experiment/src/main/java/org/landingridge/experiment/ExperimentCommand.java
@@ -0,0 +1,50 @@
+package org.landingridge.experiment;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.landingridge.controller.config.BadSettings;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Plays an experiment with each of its seeds, and writes a report. */
+@Command(name = "experiment", mixinStandardHelpOptions = true,
+        description = "Play the real core among stand-ins in simulated time, check every rule, write a report.",
+        footer = {"", "Exit codes: 0 no rule broken, 1 a rule was broken, 2 bad usage or file."})
+public final class ExperimentCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE", description = "the experiment (TOML)")
+    private Path file;
+
+    @Option(names = "--report", paramLabel = "FILE", description = "where the report goes (HTML)")
+    private Path report;
+
+    @Override
+    public Integer call() throws Exception {
+        Experiment plan;
+        try {
+            plan = Experiment.read(file);
+        } catch (BadSettings e) {
+            System.err.println("landingridge: " + e.getMessage());
+            return 2;
+        }
+        List<Play.Outcome> outcomes = new ArrayList<>();
+        for (long seed : plan.seeds()) {
+            Play.Outcome o = Play.once(plan, seed);
+            outcomes.add(o);
+            System.out.printf("seed %d: %d rules broken, %d of %d jobs done, %d cancelled, %d tasks run again, leader %.1f MB,"
+                    + " played in %.1f s%n", seed, o.broken().size(), o.done(), o.submitted(), o.cancelled(), o.repeats(),
+                    o.leaderKb() / 1024.0, o.tookS());
+            o.broken().stream().limit(10).forEach(b -> System.out.println("  " + b));
+            o.takeovers().forEach(t -> System.out.printf("  leader lost at %.1f s: led after %.1f s, 95%% of machines known"
+                    + " after %.1f s, all after %.1f s%n", t.atS(), t.ledS(), t.mostS(), t.allS()));
+            System.out.println("  leaders' threads, ms: " + o.busyMs());
+        }
+        if (report != null) {
+            Report.write(report, plan, outcomes);
+            System.out.println("report: " + report);
+        }
+        return outcomes.stream().allMatch(o -> o.broken().isEmpty()) ? 0 : 1;
+    }
+}
--- a/experiment/src/main/java/org/landingridge/experiment/HistoryProbe.java
+++ b/experiment/src/main/java/org/landingridge/experiment/HistoryProbe.java
@@ -99,7 +99,7 @@
         return new Result(form, ended, readyMs, requests.get(), peakKb(process), failed);
     }
 
-    private static void seed(StateService state, Form form, int ended) {
+    static void seed(StateService state, Form form, int ended) {
         if (form == Form.SEGMENTS) {
             World.past(state, FIRST, ended);
             return;
--- /dev/null
+++ b/experiment/src/main/java/org/landingridge/experiment/Play.java
@@ -0,0 +1,238 @@
+package org.landingridge.experiment;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.landingridge.controller.store.Keys;
+import org.landingridge.emulator.Worker;
+import org.landingridge.wire.JobSpec;
+import org.landingridge.wire.Priority;
+
+/** Plays an experiment once, with one seed, and notes what happened. */
+final class Play {
+    /** One second of a play. */
+    record Sample(int second, int machines, int running, int live, int requests, int changes) {}
+
+    /** A takeover, from the fault until a controller leads, until most machines are known to it, and until all are. */
+    record Takeover(double atS, double ledS, double mostS, double allS) {}
+
+    /**
+     * What came out.
+     *
+     * @param busyMs milliseconds of this machine's processor that all leaders' threads spent, by part
+     */
+    record Outcome(long seed, List<String> broken, int submitted, int done, int cancelled, int repeats, int refused,
+            List<Sample> samples, List<Takeover> takeovers, Map<String, Long> busyMs, int requests, int mostWrites,
+            long leaderKb, double tookS) {}
+
+    private static final int FIRST = 100_000;
+    private final Experiment plan;
+    private final World world;
+    private final SplittableRandom random;
+    private final List<Sample> samples = new ArrayList<>();
+    private final List<Takeover> takeovers = new ArrayList<>();
+    private final Map<String, Long> busy = new TreeMap<>();
+    /** By process: what its thread has spent. */
+    private final Map<Object, Map<String, Long>> busyOf = new LinkedHashMap<>();
+    private int number;
+    private int submitted;
+    private int requestsBefore;
+    /** Of the fault that took the leader away; negative while there is none. */
+    private double lostAtS = -1;
+    private double ledAtS = -1;
+    private double mostAtS = -1;
+
+    private Play(Experiment plan, long seed) {
+        this.plan = plan;
+        this.random = new SplittableRandom(seed);
+        world = new World(new World.Setup(seed, plan.controllers(), plan.machines(), Math.round(plan.bootS() * 1000),
+                Math.round(plan.reportS() * 1000), Math.round(plan.leaseS() * 1000), plan.teams(), plan.state()));
+        world.sim.measured = true;
+        number = FIRST + plan.ended();
+    }
+
+    static Outcome once(Experiment plan, long seed) {
+        return new Play(plan, seed).run(seed);
+    }
+
+    private Outcome run(long seed) {
+        long began = System.nanoTime();
+        if (plan.form() == HistoryProbe.Form.SEGMENTS) {
+            World.past(world.state, FIRST, plan.ended());
+        } else {
+            HistoryProbe.seed(world.state, plan.form(), plan.ended());
+        }
+        for (int i = 0; i < plan.up(); i++) {
+            world.cloud.rent(i % 2 == 0 ? "a" : "b", false);
+        }
+        world.enforceLimits();
+        plan.arrivals().forEach(this::arrive);
+        plan.faults().forEach(f -> world.at(Math.round(f.atS() * 1000), () -> begin(f)));
+        long end = plan.durationS() * 1000L;
+        for (long t = 100; t <= end; t += 100) {
+            world.sim.run(t);
+            watchLeader(t);
+            if (t % 1_000 == 0) {
+                sample((int) (t / 1_000));
+            }
+        }
+        long leaderKb = leaderKb();
+        return new Outcome(seed, List.copyOf(world.rules.broken), submitted, (int) world.over("done"),
+                (int) world.over("cancelled"), world.rules.repeats, world.state.tooMany, samples, takeovers, busy,
+                world.state.requests(), world.state.mostWrites, leaderKb, (System.nanoTime() - began) / 1e9);
+    }
+
+    private void arrive(Experiment.Arrivals a) {
+        for (int i = 0; i < a.initial(); i++) {
+            submit(a, random.nextInt(1_000));
+        }
+        if (a.perMinute() > 0) {
+            double meanMs = 60_000 / a.perMinute();
+            for (double t = 0; t < Math.min(a.untilS(), plan.durationS()) * 1000;) {
+                t += -Math.log(1 - random.nextDouble()) * meanMs;
+                submit(a, Math.round(t));
+            }
+        }
+    }
+
+    private void submit(Experiment.Arrivals a, long atMs) {
+        JobSpec spec = new JobSpec(World.id(number++), a.jobClass(), a.team(), a.service(),
+                a.service() ? Priority.HIGH : Priority.NORMAL,
+                a.tasksMin() + random.nextInt(a.tasksMax() - a.tasksMin() + 1), a.cpus(), 0, a.cpus(),
+                "img-" + random.nextInt(4), 0.3, null, null, false, false, !a.service(),
+                a.service() ? 0 : a.runS() * (0.5 + random.nextDouble()), 0, 0, null);
+        submitted++;
+        world.at(atMs, () -> world.submit(spec));
+    }
+
+    private void begin(Experiment.Fault f) {
+        World.Node leader = world.leader();
+        long forMs = Math.round(f.forS() * 1000);
+        switch (f.kind()) {
+            case CRASH_LEADER -> {
+                if (leader != null && leader.host.up) {
+                    lost();
+                    leader.crash(forMs);
+                }
+            }
+            case CRASH_ALL -> {
+                lost();
+                world.nodes.stream().filter(n -> n.host.up).forEach(n -> n.crash(forMs));
+            }
+            case STATE_OUTAGE -> {
+                world.state.outage(true);
+                world.at(world.sim.now + forMs, () -> world.state.outage(false));
+            }
+            case CUT_LEADER_STATE -> {
+                if (leader != null) {
+                    world.sim.cut(leader.host.name, "state");
+                    world.at(world.sim.now + forMs, world.sim::heal);
+                }
+            }
+            case CUT_LEADER_WORKERS -> {
+                if (leader != null) {
+                    world.workers.forEach(w -> world.sim.cut(leader.host.name, w.box().id));
+                    world.at(world.sim.now + forMs, world.sim::heal);
+                }
+            }
+            case HANG_MACHINES -> some(f.count()).forEach(w -> {
+                w.hang(true);
+                world.at(world.sim.now + forMs, () -> w.hang(false));
+            });
+            case LOSE_MACHINES -> some(f.count()).forEach(w -> world.cloud.delete(w.box().id));
+            case LOST_ANSWERS -> {
+                world.sim.lostAnswers.put("state", f.share());
+                world.at(world.sim.now + forMs, () -> world.sim.lostAnswers.remove("state"));
+            }
+        }
+    }
+
+    private List<Worker> some(int count) {
+        List<Worker> left = new ArrayList<>(world.workers);
+        List<Worker> chosen = new ArrayList<>();
+        while (chosen.size() < count && !left.isEmpty()) {
+            chosen.add(left.remove(random.nextInt(left.size())));
+        }
+        return chosen;
+    }
+
+    private void lost() {
+        lostAtS = world.sim.now / 1000.0;
+        ledAtS = -1;
+        mostAtS = -1;
+    }
+
+    private void watchLeader(long now) {
+        if (lostAtS < 0) {
+            return;
+        }
+        World.Node leader = world.leader();
+        JsonNode status = leader == null || !leader.host.up ? null : world.status(leader);
+        if (status == null || !status.has("machines")) {
+            return;
+        }
+        double at = now / 1000.0;
+        int unknown = status.path("unaccounted").asInt();
+        if (ledAtS < 0) {
+            ledAtS = at;
+        }
+        if (mostAtS < 0 && unknown * 20 <= world.workers.size()) {
+            mostAtS = at;
+        }
+        if (unknown == 0) {
+            takeovers.add(new Takeover(lostAtS, ledAtS - lostAtS, mostAtS - lostAtS, at - lostAtS));
+            lostAtS = -1;
+        }
+    }
+
+    private void sample(int second) {
+        int requests = world.state.requests();
+        samples.add(new Sample(second, world.workers.size(), world.rules.places.size(),
+                world.state.keys(Keys.JOBS).size(), requests - requestsBefore,
+                world.state.lastWrites()));
+        requestsBefore = requests;
+        World.Node leader = world.leader();
+        if (leader != null && leader.host.up) {
+            busyNow(leader);
+        }
+    }
+
+    /** What each process that ever led has spent so far; a process that died keeps its last word. */
+    private void busyNow(World.Node leader) {
+        busyOf.put(leader.controller, world.busyMs(leader));
+        busy.clear();
+        busyOf.values().forEach(parts -> parts.forEach((part, ms) -> busy.merge(part, ms, Long::sum)));
+    }
+
+    /** What the leader's process holds in memory: the difference that its end makes to this one's heap. */
+    private long leaderKb() {
+        World.Node leader = world.leader();
+        if (leader == null) {
+            return 0;
+        }
+        world.nodes.stream().filter(n -> n != leader).forEach(this::end);
+        long with = heap();
+        end(leader);
+        return Math.max(0, with - heap()) / 1024;
+    }
+
+    private void end(World.Node node) {
+        node.host.kill();
+        node.controller = null;
+        world.sim.forget(node.host);
+        world.state.dropWatches();
+        busyOf.clear();
+    }
+
+    private static long heap() {
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+        }
+        Runtime r = Runtime.getRuntime();
+        return r.totalMemory() - r.freeMemory();
+    }
+}
--- /dev/null
+++ b/experiment/src/main/java/org/landingridge/experiment/Report.java
@@ -0,0 +1,101 @@
+package org.landingridge.experiment;
+
+import io.pebbletemplates.pebble.PebbleEngine;
+import io.pebbletemplates.pebble.loader.ClasspathLoader;
+import java.awt.Color;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.ToDoubleFunction;
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import org.knowm.xchart.style.markers.SeriesMarkers;
+
+/** One HTML page of an experiment: figures in tables, curves as pictures within the page. */
+final class Report {
+    private static final int WIDTH = 720;
+    private static final int HEIGHT = 260;
+    private static final String TEMPLATE = "org/landingridge/experiment/report.peb";
+
+    private Report() {}
+
+    static void write(Path file, Experiment plan, List<Play.Outcome> outcomes) throws IOException {
+        Map<String, Object> context = new LinkedHashMap<>();
+        context.put("plan", plan);
+        context.put("outcomes", outcomes.stream().map(Report::row).toList());
+        context.put("takeovers", outcomes.stream().flatMap(o -> o.takeovers().stream().map(t -> Map.of("seed", o.seed(),
+                "at", decimal(t.atS()), "led", decimal(t.ledS()), "most", decimal(t.mostS()), "all", decimal(t.allS()))))
+                .toList());
+        context.put("broken", outcomes.stream().flatMap(o -> o.broken().stream().map(b -> o.seed() + ": " + b)).toList());
+        context.put("busy", busy(plan, outcomes));
+        List<Map<String, String>> charts = new ArrayList<>();
+        charts.add(chart("Machines up", outcomes, s -> s.machines()));
+        charts.add(chart("Tasks running", outcomes, s -> s.running()));
+        charts.add(chart("Jobs with a key of their own", outcomes, s -> s.live()));
+        charts.add(chart("Requests to the state service, a second", outcomes, s -> s.requests()));
+        charts.add(chart("Changes in the state service, a second", outcomes, s -> s.changes()));
+        context.put("charts", charts);
+        ClasspathLoader loader = new ClasspathLoader(Report.class.getClassLoader());
+        PebbleEngine engine = new PebbleEngine.Builder().loader(loader).autoEscaping(true).strictVariables(true)
+                .defaultLocale(Locale.ROOT).build();
+        StringWriter page = new StringWriter();
+        engine.getTemplate(TEMPLATE).evaluate(page, context);
+        Files.writeString(file, page.toString(), StandardCharsets.UTF_8);
+    }
+
+    private static Map<String, Object> row(Play.Outcome o) {
+        Map<String, Object> row = new LinkedHashMap<>();
+        row.put("seed", o.seed());
+        row.put("broken", o.broken().size());
+        row.put("submitted", o.submitted());
+        row.put("done", o.done());
+        row.put("cancelled", o.cancelled());
+        row.put("repeats", o.repeats());
+        row.put("refused", o.refused());
+        row.put("requests", o.requests());
+        row.put("mostWrites", o.mostWrites());
+        row.put("leaderMb", decimal(o.leaderKb() / 1024.0));
+        row.put("tookS", decimal(o.tookS()));
+        return row;
+    }
+
+    /** Milliseconds of the leaders' threads by part, the mean over the seeds, and a second of simulated time. */
+    private static List<Map<String, Object>> busy(Experiment plan, List<Play.Outcome> outcomes) {
+        Map<String, Long> sums = new LinkedHashMap<>();
+        outcomes.forEach(o -> o.busyMs().forEach((part, ms) -> sums.merge(part, ms, Long::sum)));
+        List<Map<String, Object>> rows = new ArrayList<>();
+        sums.forEach((part, ms) -> rows.add(Map.of("part", part, "ms", ms / outcomes.size(),
+                "perSecond", decimal((double) ms / outcomes.size() / plan.durationS()))));
+        return rows;
+    }
+
+    private static String decimal(double value) {
+        return String.format(Locale.ROOT, "%.1f", value);
+    }
+
+    private static Map<String, String> chart(String title, List<Play.Outcome> outcomes,
+            ToDoubleFunction<Play.Sample> value) throws IOException {
+        XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(title).xAxisTitle("seconds").build();
+        chart.getStyler().setChartBackgroundColor(Color.WHITE);
+        chart.getStyler().setMarkerSize(0);
+        chart.getStyler().setLegendVisible(outcomes.size() > 1);
+        chart.getStyler().setYAxisMin(0.0);
+        for (Play.Outcome o : outcomes) {
+            if (!o.samples().isEmpty()) {
+                chart.addSeries("seed " + o.seed(), o.samples().stream().mapToDouble(Play.Sample::second).toArray(),
+                        o.samples().stream().mapToDouble(value).toArray()).setMarker(SeriesMarkers.NONE);
+            }
+        }
+        byte[] png = BitmapEncoder.getBitmapBytes(chart, BitmapEncoder.BitmapFormat.PNG);
+        return Map.of("title", title, "png", Base64.getEncoder().encodeToString(png));
+    }
+}
--- a/experiment/src/main/java/org/landingridge/experiment/World.java
+++ b/experiment/src/main/java/org/landingridge/experiment/World.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -22,6 +23,7 @@
 import org.landingridge.emulator.Sim;
 import org.landingridge.emulator.StateService;
 import org.landingridge.emulator.Worker;
+import org.landingridge.net.Http;
 import org.landingridge.wire.JobSpec;
 import org.landingridge.wire.Json;
 import org.landingridge.wire.Priority;
@@ -232,7 +234,7 @@
     private void ask(int node, String id, String what, String method, String path, byte[] body, int tries) {
         sim.client(users).call(nodeAddr(node), method, path, body, 5_000, reply -> {
             boolean settled = false;
-            if (reply.outcome() == org.landingridge.net.Http.Outcome.ANSWERED) {
+            if (reply.outcome() == Http.Outcome.ANSWERED) {
                 JsonNode n = Json.parse(reply.body());
                 String state = n == null || !n.has("status") ? "" : n.get("status").textValue();
                 rules.answered(id, what, reply.status(), state);
@@ -315,8 +317,29 @@
 
     /** A counter of a controller, as it serves it. */
     int metric(Node node, String name) {
+        return get(node, "/metrics").lines().filter(l -> l.startsWith(name + " ")).mapToInt(l ->
+                Integer.parseInt(l.substring(name.length() + 1))).findFirst().orElseThrow();
+    }
+
+    /** Milliseconds that a controller's thread has spent so far, by part of its work. */
+    Map<String, Long> busyMs(Node node) {
+        String start = "landingridge_busy_ms_";
+        Map<String, Long> parts = new LinkedHashMap<>();
+        get(node, "/metrics").lines().filter(l -> l.startsWith(start)).forEach(l -> {
+            int space = l.indexOf(' ');
+            parts.put(l.substring(start.length(), space), Long.parseLong(l.substring(space + 1)));
+        });
+        return parts;
+    }
+
+    /** What a controller says of itself. */
+    JsonNode status(Node node) {
+        return Json.parse(get(node, "/api/status").getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String get(Node node, String path) {
         String[] text = new String[1];
-        node.controller.serve(new org.landingridge.net.Http.Exchange() {
+        node.controller.serve(new Http.Exchange() {
             @Override
             public String method() {
                 return "GET";
@@ -324,7 +347,7 @@
 
             @Override
             public String path() {
-                return "/metrics";
+                return path;
             }
 
             @Override
@@ -334,11 +357,10 @@
 
             @Override
             public void answer(int status, byte[] body, int retryAfterS) {
-                text[0] = new String(body, java.nio.charset.StandardCharsets.UTF_8);
+                text[0] = new String(body, StandardCharsets.UTF_8);
             }
         });
-        return text[0].lines().filter(l -> l.startsWith(name + " ")).mapToInt(l ->
-                Integer.parseInt(l.substring(name.length() + 1))).findFirst().orElseThrow();
+        return text[0];
     }
 
     void at(long ms, Runnable what) {
--- /dev/null
+++ b/experiment/src/test/java/org/landingridge/experiment/ExperimentTest.java
@@ -0,0 +1,83 @@
+package org.landingridge.experiment;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.landingridge.controller.config.BadSettings;
+
+class ExperimentTest {
+    private static final String GOOD = """
+            name = "small <one>"
+            seeds = [4]
+            duration_s = 60
+            [cluster]
+            machines = 10
+            [history]
+            ended = 1000
+            [[teams]]
+            name = "red"
+            cpus = 8.0
+            [[arrivals]]
+            class = "array"
+            team = "red"
+            tasks_min = 2
+            tasks_max = 5
+            run_s = 4.0
+            initial = 4
+            per_minute = 6
+            until_s = 30.0
+            [[faults]]
+            at_s = 15.0
+            kind = "crash_leader"
+            for_s = 2.0
+            """;
+
+    @TempDir
+    private Path dir;
+
+    private Experiment read(String text) throws BadSettings, IOException {
+        return Experiment.read(Files.writeString(dir.resolve("e.toml"), text));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "seeds = [4],seeds = [],seeds", "duration_s = 60,duration_s = 0,duration_s", "machines = 10,machins = 10,machins",
+        "team = \"red\",team = \"blue\",arrivals[0].team", "tasks_max = 5,tasks_max = 1,arrivals[0].tasks_max",
+        "crash_leader,crash,kind", "machines = 10,up = 30,cluster.up", "ended = 1000,ended = -1,ended",
+        "seeds = [4],seeds = [,e.toml"})
+    void whatIsOutOfRangeIsNamed(String good, String bad, String named) {
+        BadSettings e = assertThrows(BadSettings.class, () -> read(GOOD.replace(good, bad)));
+        assertTrue(e.getMessage().contains(named) && e.getMessage().contains("e.toml"), e.getMessage());
+        assertEquals(1, e.getMessage().lines().count(), e.getMessage());
+    }
+
+    /** The seed decides all that happens; the report tells it, and cannot be broken by a name. */
+    @Test
+    void playsTheSameTwice() throws BadSettings, IOException {
+        Experiment plan = read(GOOD);
+        Play.Outcome one = Play.once(plan, 4);
+        Play.Outcome two = Play.once(plan, 4);
+        assertEquals(List.of(), one.broken());
+        assertEquals(one.samples(), two.samples());
+        assertEquals(one.takeovers(), two.takeovers());
+        assertEquals(1, one.takeovers().size());
+        assertEquals(one.submitted(), one.done());
+        assertTrue(one.submitted() >= 4);
+        Path page = dir.resolve("r.html");
+        Report.write(page, plan, List.of(one));
+        String html = Files.readString(page);
+        assertTrue(html.contains("small &lt;one&gt;") && html.contains("No rule was broken"), html.substring(0, 300));
+        assertFalse(html.contains("small <one>"));
+        assertEquals(5, html.split("data:image/png;base64,", -1).length - 1);
+    }
+}
