Moves take jobs of several segments; the pause before a pass grows with the fleet

Need: with ids in no order each job has a segment of its own, and every move woke seven controllers' watches for one job. Change: as many jobs as a transaction takes, of as many segments; at least half a transaction's worth. A pass looks at every machine and job: it waits a millisecond for 25 of them, 25 ms at least. The late retry's test now runs 321 real jobs.

--- a/controller/src/main/java/org/landingridge/controller/history/Compactor.java
+++ b/controller/src/main/java/org/landingridge/controller/history/Compactor.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -168,9 +169,9 @@
             idle(IDLE_MS);
             return;
         }
-        List<Candidate> batch = batch();
+        Map<String, List<Candidate>> batch = batch();
         if (!batch.isEmpty()) {
-            read(batch);
+            read(batch, new HashMap<>());
         } else if (table.partial() && strays.size() < MOST_STRAYS) {
             scan();
         } else {
@@ -190,87 +191,113 @@
         return unknowing.isEmpty();
     }
 
-    /** Jobs of one segment, as many as a transaction takes: the segment of the job that ended first. */
-    private List<Candidate> batch() {
+    /**
+     * As many jobs as a transaction takes, by segment, those first that ended first. Ids that follow each other share a
+     * segment, and then seven go at once; where each has its own, four do.
+     */
+    private Map<String, List<Candidate>> batch() {
         long now = loop.now();
-        List<Candidate> batch = new ArrayList<>();
-        String segment = null;
+        Map<String, List<Candidate>> batch = new LinkedHashMap<>();
         int surplus = table.ended().size() - KEPT;
-        if (surplus <= 0 && strays.isEmpty()) {
+        // A few more are waited for: each transaction wakes every controller's watch, however little it moves.
+        if (surplus < maxOps / 2 && strays.isEmpty()) {
             return batch;
         }
         Set<String> held = reign.onMachines();
         held.addAll(contradicted);
-        for (Candidate c : new ArrayList<>(strays.values())) {
-            String key = Place.of(c.id).key();
-            if (batch.size() < maxOps - 1 && (segment == null || segment.equals(key)) && !unreadable.contains(key)
-                    && !held.contains(c.id)) {
-                segment = key;
-                batch.add(c);
+        int ops = 0;
+        for (Candidate c : strays.values()) {
+            if (!held.contains(c.id)) {
+                ops += add(batch, c, maxOps - ops);
             }
         }
         for (Job job : table.ended()) {
-            if (batch.size() >= maxOps - 1 || now - job.endedAt() < MIN_AGE_MS || surplus-- <= 0 && segment == null) {
+            if (ops >= maxOps || now - job.endedAt() < MIN_AGE_MS) {
                 break;
             }
-            String key = Place.of(job.id()).key();
             long version = mirror.version(Keys.JOBS + job.id());
-            if ((segment == null || segment.equals(key)) && !unreadable.contains(key) && !held.contains(job.id())
-                    && !strays.containsKey(job.id()) && version > 0) {
-                segment = key;
-                batch.add(new Candidate(job.id(), version, new Ended(job.status(), job.tasks())));
+            boolean due = surplus-- > 0 || batch.containsKey(Place.of(job.id()).key());
+            if (due && version > 0 && !held.contains(job.id()) && !strays.containsKey(job.id())) {
+                ops += add(batch, new Candidate(job.id(), version, new Ended(job.status(), job.tasks())), maxOps - ops);
             }
         }
         return batch;
     }
 
-    private void read(List<Candidate> batch) {
+    /** Takes the job into the batch where there is room for it; returns how many puts and deletes it takes. */
+    private int add(Map<String, List<Candidate>> batch, Candidate c, int room) {
+        String key = Place.of(c.id).key();
+        int ops = batch.containsKey(key) ? 1 : 2;
+        if (ops > room || unreadable.contains(key)) {
+            return 0;
+        }
+        batch.computeIfAbsent(key, k -> new ArrayList<>()).add(c);
+        return ops;
+    }
+
+    /** Reads the batch's segments, one after the other; those that cannot be read drop out with their jobs. */
+    private void read(Map<String, List<Candidate>> batch, Map<String, History.Found> read) {
         to(State.READING);
-        history.find(batch.get(0).id, found -> {
+        String key = batch.keySet().stream().filter(k -> !read.containsKey(k)).findFirst().orElse(null);
+        if (key == null) {
+            write(batch, read);
+            return;
+        }
+        history.find(batch.get(key).get(0).id, found -> {
             if (state != State.READING) {
                 return;
             }
             switch (found.outcome()) {
-                case READ -> write(batch, found.segment(), found.version());
+                case READ -> {
+                    read.put(key, found);
+                    read(batch, read);
+                }
                 case UNREADABLE -> {
-                    unreadable.add(Place.of(batch.get(0).id).key());
-                    idle(IDLE_MS);
+                    unreadable.add(key);
+                    batch.remove(key);
+                    read(batch, read);
                 }
                 case UNAVAILABLE -> pause();
             }
         });
     }
 
-    private void write(List<Candidate> batch, Segment before, long version) {
-        String key = Place.of(batch.get(0).id).key();
+    private void write(Map<String, List<Candidate>> batch, Map<String, History.Found> read) {
         long leader = leaderVersion.getAsLong();
-        Map<Integer, Ended> moving = new LinkedHashMap<>();
         List<Guard> guards = new ArrayList<>();
         List<Write> writes = new ArrayList<>();
+        List<Candidate> moved = new ArrayList<>();
         guards.add(new Guard(Keys.LEADER, leader));
-        guards.add(new Guard(key, version));
-        for (Candidate c : batch) {
-            Ended there = before.get(Place.of(c.id).offset());
-            if (there != null && !there.equals(c.ended)) {
-                // Two ends of one job: whichever users were told, nothing here may choose between them.
-                LOG.error("{} has ended {} by its key and {} by segment {}: both stay", c.id, c.ended, there, key);
-                contradicted.add(c.id);
-                continue;
+        batch.forEach((key, candidates) -> {
+            Segment before = read.get(key).segment();
+            Map<Integer, Ended> moving = new LinkedHashMap<>();
+            for (Candidate c : candidates) {
+                Ended there = before.get(Place.of(c.id).offset());
+                if (there != null && !there.equals(c.ended)) {
+                    // Two ends of one job: whichever users were told, nothing here may choose between them.
+                    LOG.error("{} has ended {} by its key and {} by segment {}: both stay", c.id, c.ended, there, key);
+                    contradicted.add(c.id);
+                    continue;
+                }
+                moving.put(Place.of(c.id).offset(), c.ended);
+                moved.add(c);
+                guards.add(new Guard(Keys.JOBS + c.id, c.version));
+                writes.add(new Write(Keys.JOBS + c.id, null, 0));
             }
-            moving.put(Place.of(c.id).offset(), c.ended);
-            guards.add(new Guard(Keys.JOBS + c.id, c.version));
-            writes.add(new Write(Keys.JOBS + c.id, null, 0));
-        }
+            if (!moving.isEmpty()) {
+                guards.add(new Guard(key, read.get(key).version()));
+                writes.add(new Write(key, before.with(moving).json(), 0));
+            }
+        });
         if (leader == 0 || writes.isEmpty()) {
             idle(IDLE_MS);
             return;
         }
-        writes.add(new Write(key, before.with(moving).json(), 0));
         to(State.WRITING);
         nextAllowed = loop.now() + Math.round(1000 * writes.size() / (share * writeRps));
         client.commit(guards, writes, answer -> {
             if (state == State.WRITING) {
-                committed(batch, answer);
+                committed(moved, answer);
             }
         });
     }
@@ -280,7 +307,7 @@
             case OK -> {
                 pauseMs = FIRST_PAUSE_MS;
                 metrics.moved.increment(batch.size());
-                LOG.debug("{} ended jobs moved into {}", batch.size(), Place.of(batch.get(0).id).key());
+                LOG.debug("{} ended jobs moved into the history", batch.size());
                 settle(batch);
             }
             // Refused as a whole, for want of rate or in an outage: whoever else wants to write goes first.
--- a/controller/src/main/java/org/landingridge/controller/reign/Reign.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Reign.java
@@ -41,6 +41,8 @@
         Compactor.Reign {
     private static final Logger LOG = LoggerFactory.getLogger(Reign.class);
     private static final long PASS_MS = 25;
+    /** A pass looks at every machine and job: the pause before it grows by a millisecond for so many of them. */
+    private static final int PASS_STEP = 25;
     private final Parts parts;
     private final Loop loop;
     private final Leadership lead;
@@ -177,7 +179,7 @@
     public void changed() {
         if (!passDue && !closed) {
             passDue = true;
-            loop.after(PASS_MS, () -> {
+            loop.after(Math.max(PASS_MS, (fleet.size() + table.active().size()) / PASS_STEP), () -> {
                 passDue = false;
                 if (!closed) {
                     parts.metrics().busy.during(Part.PASS, pass::run);
--- a/experiment/src/test/java/org/landingridge/experiment/EndedJobsTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/EndedJobsTest.java
@@ -210,7 +210,6 @@
     @ValueSource(booleans = {false, true})
     void aLateRetryOfAMovedJob(boolean blind) {
         World w = new World(81, 10);
-        w.ended(100_000, MANY, 2);
         String id = "job-100001";
         w.sim.run(20_000);
         World.Node behind = w.nodes.stream().filter(n -> n != w.leader()).findFirst().orElseThrow();
@@ -221,6 +220,11 @@
         w.submit(World.job(100_001, "blue", false, 1, 1, 1));
         w.sim.run(27_000);
         w.askOnce(id, "submit", behind.index);
+        // So many end after it that its turn to move comes.
+        for (int i = 0; i < 320; i++) {
+            int n = 200_000 + 700 * i;
+            w.at(30_000 + 100 * i, () -> w.submit(World.job(n, "blue", false, 1, 1, 0.5)));
+        }
         w.sim.run(140_000);
         assertEquals("done", w.rules.told.get(id));
         assertTrue(past(w, id), "it has moved");
@@ -229,6 +233,7 @@
         }
         w.sim.heal();
         w.sim.run(200_000);
+        assertEquals(321, w.over("done"));
         if (blind) {
             assertTrue(w.state.value(Keys.JOBS + id) != null && w.rules.repeats > 0, "it runs once more");
         } else {
