--- a/controller/src/main/java/org/landingridge/controller/Controller.java
+++ b/controller/src/main/java/org/landingridge/controller/Controller.java
@@ -48,8 +48,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
     private static final long READY_MS = 4_000;
     private static final long OPEN_MS = 2_000;
-    /** After a start the leases of hundreds of workers come first. */
-    private static final long ANNOUNCE_MS = 3_000;
+    /** After a start the leases of hundreds of workers come first, and users' changes. */
+    private static final long ANNOUNCE_MS = 15_000;
     /** A report waits so long for a leader to be known; the worker gives up after 4 s. */
     private static final long PARK_MS = 1_500;
     private static final int MAX_PARKED = 400;
--- a/experiment/src/main/java/org/landingridge/experiment/HistoryProbe.java
+++ b/experiment/src/main/java/org/landingridge/experiment/HistoryProbe.java
@@ -58,8 +58,11 @@
             Files.writeString(settings, String.format(SETTINGS, serve, Loopback.freePort(), loopback.cloud(),
                     loopback.state()), StandardCharsets.UTF_8);
             long began = System.nanoTime();
+            // The class-data archive beside the jar, as in deploy/service.toml; without one this says nothing.
+            String archive = jar.toString().replaceAll("\\.jar$", ".jsa");
             Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-Xmx64m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-jar", jar.toString(), "--config",
+                    "-Xmx64m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData",
+                    "-XX:SharedArchiveFile=" + archive, "-Xshare:auto", "-Xlog:disable", "-jar", jar.toString(), "--config",
                     settings.toString()).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
             try {
                 return watch(process, loopback, state[0], form, ended, serve, began, limitS);
