--- a/experiment/src/test/java/org/landingridge/experiment/EndedJobsTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/EndedJobsTest.java
@@ -100,7 +100,7 @@
         assertTrue(moved(w) > 100, moved(w) + " moved");
     }
 
-    /** A third of the answers of the state service get lost: moves, accepts and cancels are unknown, and settled. */
+    /** A fifth of the answers of the state service get lost: moves, accepts and cancels are unknown, and settled. */
     @ParameterizedTest
     @ValueSource(longs = {21, 22})
     void answersGetLost(long seed) {
