--- a/cli/src/main/java/org/landingridge/cli/Main.java
+++ b/cli/src/main/java/org/landingridge/cli/Main.java
@@ -3,8 +3,6 @@
 import org.landingridge.controller.cli.CheckCommand;
 import org.landingridge.controller.cli.RunCommand;
 import org.landingridge.experiment.ExperimentCommand;
-import org.landingridge.gateway.cli.GatewayCommand;
-import org.landingridge.gateway.cli.StoreCommands;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -14,7 +12,7 @@
         description = "A cluster scheduler that treats a timeout as an unknown outcome.",
         subcommands = {RunCommand.class, CheckCommand.class, UserCommands.Submit.class, UserCommands.Show.class,
             UserCommands.Cancel.class, UserCommands.Status.class, LocalCommand.class, ProbeCommand.class,
-            ExperimentCommand.class, GatewayCommand.class, StoreCommands.class},
+            ExperimentCommand.class},
         footer = {"", "Exit codes: 0 success, 1 failure, 2 bad usage or settings.",
             "LOG_LEVEL (error, info, debug) sets what is logged to standard error."})
 public final class Main implements Runnable {
