Reconciliation: one pure function from evidence to a verdict; silent machines are settled by their return

Need: one silent machine held up every task of earlier leaders' jobs for a lease after an election, and what a lost machine held waited out its lease at any time. Change: package recovery judges machines, reports, entries and tasks. A machine that is silent beyond its report, and does not answer two questions sent straight to it, is given back where what it holds would wait at least 5 s longer for its lease; the cloud's 200 proves that all on it is gone. Not where more than a fifth of a zone (settleShare) is silent at once: that is a cut. During the census a job waits only for machines that it may run on. A worker that has seen a higher token gets 503 and the state service is asked, instead of a 200 that it drops.

--- a/controller/src/main/java/org/landingridge/controller/config/Policy.java
+++ b/controller/src/main/java/org/landingridge/controller/config/Policy.java
@@ -23,11 +23,12 @@
  * @param spareShare      standing room for services, as a share of what they use
  * @param historyShare    share of the change rate that moving ended jobs into the history may take; 0: none are moved
  * @param queryLimitS     how long an operation may stay unknown before it is escalated
+ * @param settleShare     share of a zone's machines that may be given back at a time because they fell silent; 0: none
  */
 public record Policy(double leaderHoldS, double bootMarginS, double idleS, double tightIdleS,
-        double spareShare, double queryLimitS, double historyShare) {
+        double spareShare, double queryLimitS, double historyShare, double settleShare) {
 
-    public static final Policy DEFAULT = new Policy(3.0, 20.0, 45.0, 600.0, 0.15, 60.0, 0.15);
+    public static final Policy DEFAULT = new Policy(3.0, 20.0, 45.0, 600.0, 0.15, 60.0, 0.15, 0.2);
 
     public static Policy read(Path file) throws BadSettings {
         String text;
@@ -54,6 +55,7 @@
                 root.path("tightIdleS").asDouble(DEFAULT.tightIdleS),
                 root.path("spareShare").asDouble(DEFAULT.spareShare),
                 root.path("queryLimitS").asDouble(DEFAULT.queryLimitS),
-                root.path("historyShare").asDouble(DEFAULT.historyShare));
+                root.path("historyShare").asDouble(DEFAULT.historyShare),
+                root.path("settleShare").asDouble(DEFAULT.settleShare));
     }
 }
--- /dev/null
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Appraisal.java
@@ -0,0 +1,132 @@
+package org.landingridge.controller.fleet;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import org.landingridge.controller.recovery.Judgement;
+import org.landingridge.controller.recovery.MachineEvidence;
+import org.landingridge.controller.recovery.MachineEvidence.Listed;
+import org.landingridge.controller.recovery.MachineEvidence.Row;
+import org.landingridge.controller.recovery.MachineEvidence.Word;
+import org.landingridge.controller.recovery.Reconciliation;
+
+/** Gathers the evidence about machines, twice a second for all of them, and has it judged. */
+final class Appraisal {
+    /** A worker reports this much later at most than its interval says: a quarter of it, and the way. */
+    private static final double REPORT_SLACK = 0.25;
+    private static final long WAY_MS = 1_500;
+    /** While so few are left to be heard after an election, each is asked at once instead of waited for. */
+    private static final int FEW = 12;
+    private static final int FEW_SHARE = 8;
+    /** Calls without an answer after which a silent machine counts as unanswered. */
+    private static final int ASKED = 2;
+    /** A return that would settle no more than this sooner than the lease is not worth the machine. */
+    private static final long LEAST_GAIN_MS = 5_000;
+
+    /** Machines of one zone at the last look. */
+    private static final class Zone {
+        private int all;
+        private int silent;
+        /** Given back lately since they were silent: they still tell of a cut. */
+        private int returned;
+    }
+
+    private record Return(long at, String zone) {}
+
+    private final Ground ground;
+    private final Census census;
+    private final BootTimes boots;
+    private final long bootMarginMs;
+    private final double settleShare;
+    private final Map<String, Zone> zones = new HashMap<>();
+    private final Deque<Return> returns = new ArrayDeque<>();
+    private long began;
+    private boolean waitingFor;
+
+    Appraisal(Ground ground, Census census, BootTimes boots, long bootMarginMs, double settleShare) {
+        this.ground = ground;
+        this.census = census;
+        this.boots = boots;
+        this.bootMarginMs = bootMarginMs;
+        this.settleShare = settleShare;
+    }
+
+    void start(long now) {
+        began = now;
+    }
+
+    /**
+     * Looks at the whole fleet: what is silent together.
+     *
+     * @param held tasks of earlier leaders wait for machines that are not accounted for
+     */
+    void look(Iterable<Machine> machines, boolean held, long now) {
+        waitingFor = held;
+        zones.clear();
+        while (!returns.isEmpty() && now - returns.peekFirst().at > ground.leaseMs()) {
+            returns.removeFirst();
+        }
+        returns.forEach(r -> zone(r.zone).returned++);
+        for (Machine m : machines) {
+            if (m.state() == Machine.State.UP || m.inCensus && m.state() == Machine.State.BOOTING) {
+                Zone z = zone(m.zone);
+                z.all++;
+                z.silent += silent(m, now) ? 1 : 0;
+            }
+        }
+    }
+
+    private Zone zone(String name) {
+        return zones.computeIfAbsent(name, z -> new Zone());
+    }
+
+    /** The machine is given back since it is silent. */
+    void returned(Machine m, long now) {
+        returns.addLast(new Return(now, m.zone));
+        zone(m.zone).returned++;
+        zone(m.zone).silent--;
+    }
+
+    /** When, by the loop's clock, the machine's lease is certainly over. */
+    long leaseEnds(Machine m) {
+        return m.answered + ground.leaseMs();
+    }
+
+    Judgement judge(Machine m, long now) {
+        boolean mayHold = m.state() == Machine.State.UP || m.inCensus || !m.attempts.isEmpty();
+        Row row = !mayHold ? Row.NAMED : m.written || m.inCensus ? Row.HOLDS : Row.REPORTED;
+        Word word = !m.everHeard() ? Word.NONE : m.fenced ? Word.OURS : Word.OLD;
+        return Reconciliation.machine(new MachineEvidence(row, word, m.listedFailed ? Listed.FAILED : Listed.UNTOLD,
+                m.state() == Machine.State.LEAVING, now > leaseEnds(m), silent(m, now), m.unanswered >= ASKED,
+                overdue(m, now), m.errors >= 4 && !m.hasLive() && m.state() == Machine.State.UP, crowd(m.zone),
+                worth(m, now)));
+    }
+
+    private boolean silent(Machine m, long now) {
+        long reportMs = ground.reportMs();
+        if (m.everHeard()) {
+            return now - m.heard > reportMs * (1 + REPORT_SLACK) + WAY_MS;
+        }
+        boolean few = census.left() <= Math.max(FEW, census.asked() / FEW_SHARE);
+        return !m.inCensus || now - began > (few ? WAY_MS : reportMs * (1 + REPORT_SLACK) + WAY_MS);
+    }
+
+    private boolean overdue(Machine m, long now) {
+        return switch (m.state()) {
+            case BOOTING -> now - m.appeared > boots.usualMostMs(m.kind) + bootMarginMs;
+            case LAPSED -> now - m.answered > ground.leaseMs() + bootMarginMs;
+            default -> false;
+        };
+    }
+
+    /** One machine of a zone may always be lost by itself; where more than a share is silent, a cut is likelier. */
+    private boolean crowd(String name) {
+        Zone z = zone(name);
+        return settleShare <= 0 || z.silent + z.returned > Math.max(1, settleShare * (z.all + z.returned));
+    }
+
+    private boolean worth(Machine m, long now) {
+        return leaseEnds(m) - now > LEAST_GAIN_MS && (m.hasLive() || m.inCensus && waitingFor);
+    }
+}
--- a/controller/src/main/java/org/landingridge/controller/fleet/Attempts.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Attempts.java
@@ -3,6 +3,12 @@
 import java.util.ArrayList;
 import java.util.Map;
 import java.util.function.Function;
+import org.landingridge.controller.recovery.EntryEvidence;
+import org.landingridge.controller.recovery.EntryEvidence.Known;
+import org.landingridge.controller.recovery.EntryEvidence.Said;
+import org.landingridge.controller.recovery.EntryEvidence.Stored;
+import org.landingridge.controller.recovery.Judgement;
+import org.landingridge.controller.recovery.Reconciliation;
 import org.landingridge.wire.JobSpec;
 import org.landingridge.wire.Report;
 import org.slf4j.Logger;
@@ -11,6 +17,8 @@
 /** What becomes of attempts: placed, seen, over; each change of theirs and of their tasks begins here. */
 final class Attempts {
     private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+    /** The worker's word for an attempt that completed. */
+    private static final String DONE = "done";
     private final Ground ground;
     private final Map<String, LiveJob> jobs;
     /** What the tasks of ended jobs take. */
@@ -49,13 +57,24 @@
         JobSpec spec = job == null ? endedSpecs.apply(e.job()) : job.spec();
         Attempt a = new Attempt(m, e.job(), e.task(), e.attempt(), spec, null, now);
         m.attempts.put(a.number, a);
-        if (task != null && task.state() == Task.State.PENDING && e.status() != Report.TaskStatus.EXITED) {
-            a.owner = task;
-            task.to(Task.State.ON_MACHINE, a, now);
-        } else if (task != null && e.status() == Report.TaskStatus.EXITED) {
-            a.owner = task;
-        } else {
-            a.stopWanted = true;
+        Said said = e.status() != Report.TaskStatus.EXITED ? Said.ON
+                : DONE.equals(e.why()) && job != null && !spec.service() ? Said.DONE : Said.ENDED;
+        Stored stored = job != null ? Stored.LIVE : spec != null ? Stored.OVER : Stored.ABSENT;
+        Judgement judgement = Reconciliation.entry(new EntryEvidence(stored, known(task), said));
+        switch (judgement.verdict()) {
+            case ADOPT -> {
+                a.owner = task;
+                if (said == Said.ON) {
+                    task.to(Task.State.ON_MACHINE, a, now);
+                }
+            }
+            case WAIT -> a.owner = task;
+            case STOP -> {
+                LOG.debug("{} on {} is stopped: {}", a.name(), m.id, judgement.cause().text());
+                a.stopWanted = true;
+            }
+            // An attempt that failed still tells of its job and its machine.
+            default -> a.owner = said == Said.ENDED ? task : null;
         }
         if (e.status() != Report.TaskStatus.FETCHING && spec != null) {
             m.used(spec.image());
@@ -63,6 +82,15 @@
         return a;
     }
 
+    private static Known known(Task task) {
+        return task == null ? Known.NONE : switch (task.state()) {
+            case PENDING -> Known.PENDING;
+            case ON_MACHINE -> Known.ELSEWHERE;
+            case FINISHED -> Known.FINISHED;
+            case DONE -> Known.DONE;
+        };
+    }
+
     void seen(Attempt a, Report.Entry e, long now) {
         switch (e.status()) {
             case FETCHING -> {
@@ -100,7 +128,7 @@
         if (task == null) {
             return;
         }
-        boolean done = a.why.equals("done") && !task.job.spec().service();
+        boolean done = a.why.equals(DONE) && !task.job.spec().service();
         if (done) {
             task.job.failures = 0;
             a.machine.errors = 0;
--- a/controller/src/main/java/org/landingridge/controller/fleet/Census.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Census.java
@@ -1,5 +1,8 @@
 package org.landingridge.controller.fleet;
 
+import java.util.HashMap;
+import java.util.Map;
+import org.landingridge.wire.JobSpec;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -12,6 +15,19 @@
     private final Ground ground;
     private int left;
     private int asked;
+    /** Of those left, by what a job may ask for: type, zone and whether it is a spot machine. */
+    private final Map<Kind, Integer> kinds = new HashMap<>();
+
+    private record Kind(String type, String zone, boolean spot) {
+        Kind(Machine m) {
+            this(m.type, m.zone, m.spot);
+        }
+
+        boolean allowedBy(JobSpec s) {
+            return (!spot || s.spot()) && (s.types() == null || s.types().contains(type))
+                    && (s.zone() == null || s.zone().equals(zone));
+        }
+    }
 
     Census(Ground ground) {
         this.ground = ground;
@@ -21,6 +37,25 @@
         m.inCensus = true;
         left++;
         asked++;
+        kinds.merge(new Kind(m), 1, Integer::sum);
+    }
+
+    /** How many there were to be accounted for. */
+    int asked() {
+        return asked;
+    }
+
+    /**
+     * True if a machine that is not accounted for could hold tasks like this: no leader has ever started one where its
+     * job does not allow it.
+     */
+    boolean mayHold(JobSpec spec) {
+        for (Kind kind : kinds.keySet()) {
+            if (kind.allowedBy(spec)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** How many machines are not accounted for. */
@@ -32,6 +67,7 @@
         if (m.inCensus) {
             m.inCensus = false;
             left--;
+            kinds.computeIfPresent(new Kind(m), (k, n) -> n == 1 ? null : n - 1);
             if (left == 0) {
                 LOG.info("census complete: {} machines accounted for", asked);
             }
--- a/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
@@ -7,11 +7,18 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
+import org.landingridge.controller.config.Policy;
 import org.landingridge.controller.config.Settings;
 import org.landingridge.controller.jobs.Job;
 import org.landingridge.controller.lead.Leadership;
 import org.landingridge.controller.obs.IncidentReport;
 import org.landingridge.controller.obs.Metrics;
+import org.landingridge.controller.recovery.Judgement;
+import org.landingridge.controller.recovery.Reconciliation;
+import org.landingridge.controller.recovery.ReportEvidence;
+import org.landingridge.controller.recovery.ReportEvidence.Token;
+import org.landingridge.controller.recovery.TaskEvidence;
+import org.landingridge.controller.recovery.Verdict;
 import org.landingridge.net.Http;
 import org.landingridge.net.Loop;
 import org.landingridge.wire.Commands;
@@ -54,7 +61,6 @@
     private final IncidentReport incidents;
     private final Events events;
     private final long leaseMs;
-    private final long reportMs;
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private final Map<String, LiveJob> jobs = new LinkedHashMap<>();
     /** Machines that were given back, with the time; the oldest first. */
@@ -64,13 +70,14 @@
     private final Attempts attempts;
     private final Reports reports;
     private final Orders orders;
-    private long began;
+    private final Appraisal appraisal;
     private long tokenRaised = Long.MIN_VALUE / 2;
     private boolean closed;
 
     /** @param endedSpecs what the tasks of ended jobs take, null where that is not known any more */
     public Fleet(Loop loop, Http http, Leadership lead, Settings.Workers workers, Function<String, MachineType> types,
-            Function<String, JobSpec> endedSpecs, Metrics metrics, IncidentReport incidents, Events events) {
+            Function<String, JobSpec> endedSpecs, Policy policy, int maxConnections, Metrics metrics,
+            IncidentReport incidents, Events events) {
         this.loop = loop;
         this.lead = lead;
         this.reignToken = lead.token();
@@ -80,16 +87,17 @@
         this.events = events;
         // Clocks differ by 0.05 % and our 200 was written after the report was sent: both err on the safe side.
         this.leaseMs = (long) (workers.leaseS() * 1000 * 1.002) + 250;
-        this.reportMs = Math.round(workers.reportS() * 1000);
-        Ground ground = new Ground(loop, http, lead, reignToken, metrics, incidents, events, leaseMs, reportMs);
+        Ground ground = new Ground(loop, http, lead, reignToken, metrics, incidents, events, leaseMs,
+                Math.round(workers.reportS() * 1000));
         census = new Census(ground);
         attempts = new Attempts(ground, jobs, endedSpecs);
         reports = new Reports(ground, attempts, census, boots);
-        orders = new Orders(ground, jobs, reports);
+        orders = new Orders(ground, jobs, reports, maxConnections);
+        appraisal = new Appraisal(ground, census, boots, Math.round(policy.bootMarginS() * 1000), policy.settleShare());
     }
 
     public void start() {
-        began = loop.now();
+        appraisal.start(loop.now());
         tick();
     }
 
@@ -136,18 +144,19 @@
      * what this reign has seen on a fenced machine and then lost is accounted for, whatever other machines may hold.
      */
     public int placeable(LiveJob job) {
-        if (job.own || census.left() == 0) {
+        boolean held = census.mayHold(job.spec());
+        if (placeable(job, false, held)) {
             return job.count(Task.State.PENDING);
         }
         int n = 0;
         for (Task t : job.touched()) {
-            n += placeable(t) ? 1 : 0;
+            n += t.state() == Task.State.PENDING && placeable(job, t.accounted, held) ? 1 : 0;
         }
         return n;
     }
 
-    private boolean placeable(Task t) {
-        return t.state() == Task.State.PENDING && (t.accounted || t.job.own || census.left() == 0);
+    private static boolean placeable(LiveJob job, boolean accounted, boolean held) {
+        return Reconciliation.task(new TaskEvidence(job.own, accounted, held)).is(Verdict.PLACE);
     }
 
     /** True if the machine may hold tasks that nobody has reported to this leader: no more than fit on it. */
@@ -191,33 +200,41 @@
         return now < m.drainUntil;
     }
 
-    /** True if the machine should go back: it never came up, is silent long after its lease, or fails its tasks. */
-    public boolean overdue(Machine m, long now, long marginMs) {
-        return switch (m.state()) {
-            case BOOTING -> !m.inCensus && now - m.appeared > boots.usualMostMs(m.kind) + marginMs;
-            case LAPSED -> now - m.answered > leaseMs + marginMs;
-            case UP -> m.errors >= 4 && !m.hasLive();
-            default -> false;
-        };
+    /** What the evidence says of the machine. */
+    public Judgement judge(Machine m, long now) {
+        return appraisal.judge(m, now);
+    }
+
+    /** The machine is to go back, by its judgement: it gets no more starts. */
+    public void giveBack(Machine m, Judgement why) {
+        if (why.cause() == Judgement.Cause.SETTLED_BY_RETURN) {
+            appraisal.returned(m, loop.now());
+            metrics.settled.increment();
+        }
+        leaving(m);
     }
 
     /** The cloud lists the machine as failed: it stopped on its own. */
     public void failed(Machine m) {
-        if (m.state() == Machine.State.UP && loop.now() - m.heard > 4_000) {
-            m.avoidUntil = loop.now() + leaseMs;
-        } else if (m.state() == Machine.State.BOOTING) {
-            m.appeared = Long.MIN_VALUE / 2;
-        }
+        m.listedFailed = true;
     }
 
     /** The job's next waiting task that may be placed, or null. */
     public Task nextPlaceable(LiveJob job) {
-        boolean clear = job.own || census.left() == 0;
+        boolean held = census.mayHold(job.spec());
+        boolean clear = placeable(job, false, held);
         for (int tried = 0; tried < job.size(); tried++) {
             int index = job.next;
             job.next = (index + 1) % job.size();
-            if (job.untouched(index) ? clear : placeable(job.task(index))) {
-                return job.task(index);
+            if (job.untouched(index)) {
+                if (clear) {
+                    return job.task(index);
+                }
+            } else {
+                Task t = job.task(index);
+                if (t.state() == Task.State.PENDING && placeable(job, t.accounted, held)) {
+                    return t;
+                }
             }
         }
         return null;
@@ -344,8 +361,15 @@
 
     /** Answers a worker's report; the caller has checked that this process leads. */
     public void report(Report r, Http.Exchange exchange) {
-        if (returned.containsKey(r.machine())) {
-            exchange.answer(503, error("this machine has been given back"));
+        Machine known = machines.get(r.machine());
+        Judgement judgement = Reconciliation.report(new ReportEvidence(returned.containsKey(r.machine()),
+                known == null || Reports.newer(known, r), Token.of(r.token(), lead.token())));
+        if (judgement.is(Verdict.ASK)) {
+            // The worker would drop our 200, and its lease would run out while it stays with us.
+            lead.suspect();
+        }
+        if (judgement.is(Verdict.ASK) || judgement.cause() == Judgement.Cause.GIVEN_BACK) {
+            exchange.answer(503, error(judgement.cause().text()));
             return;
         }
         Machine m = appeared(r.machine(), r.addr(), r.type(), r.zone(), r.spot());
@@ -376,16 +400,14 @@
         }
         long now = loop.now();
         boolean stuck = false;
-        boolean few = census.left() <= Orders.CENSUS_CALLS;
+        appraisal.look(machines.values(), census.left() > 0 && held(), now);
         for (Machine m : new ArrayList<>(machines.values())) {
-            boolean open = m.state() == Machine.State.UP || m.inCensus || !m.attempts.isEmpty();
-            if (open && now - m.answered > leaseMs) {
-                lapse(m);
+            switch (appraisal.judge(m, now).verdict()) {
+                case PLACE -> lapse(m);
+                case ASK -> orders.ask(m);
+                default -> { }
             }
             stuck |= m.state() == Machine.State.UP && orders.withdrawn(m, now);
-            if (m.inCensus && !m.fenced && now - m.heard > 1_500 && (few || now - began > reportMs + 1_000)) {
-                orders.callCensus(m, 0);
-            }
             orders.callDirect(m);
         }
         // Lists lag, and reports may come minutes late: after that a name that was given back is not heard of any more.
@@ -400,6 +422,16 @@
         loop.after(500, this::tick);
     }
 
+    /** True if tasks of earlier leaders' jobs wait. */
+    private boolean held() {
+        for (LiveJob job : jobs.values()) {
+            if (!job.own && job.count(Task.State.PENDING) > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void lapse(Machine m) {
         if (m.state() == Machine.State.UP) {
             LOG.info("{} is silent: its lease has run out", m.id);
--- a/controller/src/main/java/org/landingridge/controller/fleet/Machine.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Machine.java
@@ -38,7 +38,12 @@
     boolean rented;
     Double noticeS;
     boolean calling;
+    /** Calls in a row that it has not answered since it was last heard. */
+    int unanswered;
+    /** The cloud says that it stopped on its own. */
+    boolean listedFailed;
     long callNotBefore;
+    long askNotBefore;
     long idleSince;
     int errors;
     long avoidUntil = Long.MIN_VALUE / 2;
@@ -109,6 +114,18 @@
         return false;
     }
 
+    /** True once it has said something to this reign's leader. */
+    boolean everHeard() {
+        return heard > Long.MIN_VALUE / 2;
+    }
+
+    /** It has just said something, in a report or in answer to a call. */
+    void heard(long now) {
+        heard = now;
+        unanswered = 0;
+        listedFailed = false;
+    }
+
     /** Notes an image as the most recently used one. */
     void used(String image) {
         if (image != null) {
--- a/controller/src/main/java/org/landingridge/controller/fleet/Orders.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Orders.java
@@ -15,20 +15,26 @@
 final class Orders {
     private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
     private static final long CALL_MS = 1_500;
-    /**
-     * Census calls at a time. At a takeover every worker reports by itself within a report or two, and those answers
-     * save leases: calls to hundreds of machines at once would keep the thread from them for seconds.
-     */
-    static final int CENSUS_CALLS = 12;
+    /** Pause after a call without an answer, before the machine is asked once more. */
+    private static final long ASK_PAUSE_MS = 400;
+    /** Questions at a time take this part of the connections at most, and never fewer than so many. */
+    private static final int ASK_SHARE = 16;
+    private static final int LEAST_ASKS = 12;
     private final Ground ground;
     private final Map<String, LiveJob> jobs;
     private final Reports reports;
     private final Set<Machine> touched = new LinkedHashSet<>();
-    /** Census calls that are out. */
-    private int calling;
+    /**
+     * At a takeover every worker reports by itself within a report or two, and those answers save leases: only who stays
+     * silent is asked, and so many at a time.
+     */
+    private final int mostAsks;
+    /** Questions that are out. */
+    private int asking;
     private boolean closed;
 
-    Orders(Ground ground, Map<String, LiveJob> jobs, Reports reports) {
+    Orders(Ground ground, Map<String, LiveJob> jobs, Reports reports, int maxConnections) {
+        this.mostAsks = Math.max(LEAST_ASKS, maxConnections / ASK_SHARE);
         this.ground = ground;
         this.jobs = jobs;
         this.reports = reports;
@@ -115,8 +121,12 @@
                     }
                     ground.loop().after(20, () -> callDirect(m));
                 }
-                case NOT_SENT -> m.callNotBefore = ground.loop().now() + 3_000;
+                case NOT_SENT -> {
+                    m.unanswered++;
+                    m.callNotBefore = ground.loop().now() + 3_000;
+                }
                 case UNKNOWN -> {
+                    m.unanswered++;
                     m.callNotBefore = ground.loop().now() + 3_000;
                     for (Attempt a : starts) {
                         a.unansweredUnder = token;
@@ -126,27 +136,38 @@
         });
     }
 
-    /** Shows the machine the new token, and learns what is on it. */
-    void callCensus(Machine m, int tries) {
-        if (closed || m.fenced || m.addr == null || m.calling || !ground.lead().mayAct() || tries > 3
-                || calling >= CENSUS_CALLS) {
+    /** Shows a silent machine the token, and learns whether it is there and what is on it. */
+    void ask(Machine m) {
+        ask(m, 0);
+    }
+
+    private void ask(Machine m, int tries) {
+        long now = ground.loop().now();
+        if (closed || m.addr == null || m.calling || now < m.askNotBefore || !ground.lead().mayAct() || tries > 3
+                || asking >= mostAsks) {
             return;
         }
         m.calling = true;
-        calling++;
+        asking++;
         long session = Math.max(1, m.session);
         byte[] body = new Commands().direct(ground.lead().token(), session);
         ground.http().call(m.addr, "POST", "/commands", body, CALL_MS, reply -> {
             m.calling = false;
-            calling--;
-            if (closed || reply.outcome() != Http.Outcome.ANSWERED) {
+            asking--;
+            if (closed) {
+                return;
+            }
+            if (reply.outcome() != Http.Outcome.ANSWERED) {
+                m.unanswered++;
+                m.askNotBefore = ground.loop().now() + ASK_PAUSE_MS;
                 return;
             }
             Report r = reports.read(m, reply);
             if (r != null) {
                 reports.merge(m, r, false);
+                m.heard(ground.loop().now());
                 if (!m.fenced) {
-                    callCensus(m, tries + 1);
+                    ask(m, tries + 1);
                 }
             }
         });
--- a/controller/src/main/java/org/landingridge/controller/fleet/Reports.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Reports.java
@@ -25,9 +25,13 @@
         this.boots = boots;
     }
 
+    static boolean newer(Machine m, Report r) {
+        return r.session() > m.session || r.session() == m.session && r.seq() > m.seq;
+    }
+
     /** Takes over what a worker says; false if something newer is known already. */
     boolean merge(Machine m, Report r, boolean hello) {
-        if (r.session() < m.session || r.session() == m.session && r.seq() <= m.seq) {
+        if (!newer(m, r)) {
             return false;
         }
         long now = ground.loop().now();
@@ -44,7 +48,7 @@
         }
         m.seq = r.seq();
         m.token = r.token();
-        m.heard = now;
+        m.heard(now);
         m.addr = r.addr();
         m.noticeS = r.noticeS();
         if (m.state() == Machine.State.BOOTING || m.state() == Machine.State.LAPSED) {
--- a/controller/src/main/java/org/landingridge/controller/lead/Leadership.java
+++ b/controller/src/main/java/org/landingridge/controller/lead/Leadership.java
@@ -60,6 +60,7 @@
     private String lastHost;
     private boolean renewing;
     private boolean raising;
+    private boolean suspecting;
     private long claimNotBefore;
     private long silentSince;
     private long renewed = Long.MIN_VALUE / 2;
@@ -330,6 +331,14 @@
         });
     }
 
+    /** A worker has seen a higher token than ours: the state service is asked who leads, past a barrier. */
+    public void suspect() {
+        if (!suspecting) {
+            suspecting = true;
+            mirror.barrier(() -> suspecting = false, () -> suspecting = false);
+        }
+    }
+
     // ---- promises ----
 
     /** Asks every other controller not to lead for a while: the state service does not answer this one. */
--- a/controller/src/main/java/org/landingridge/controller/obs/Metrics.java
+++ b/controller/src/main/java/org/landingridge/controller/obs/Metrics.java
@@ -18,6 +18,7 @@
     public final Counter takeovers = counter("takeovers", "times this controller took the lead");
     public final Counter lapses = counter("lapses", "machines whose lease ran out");
     public final Counter lost = counter("lost", "attempts lost with their machine or session");
+    public final Counter settled = counter("settled", "silent machines given back to settle what they held");
     public final Counter escalated = counter("escalated", "operations unsettled beyond the query limit");
 
     public final Counter moved = counter("history.moved", "ended jobs moved into the history");
--- /dev/null
+++ b/controller/src/main/java/org/landingridge/controller/recovery/Judgement.java
@@ -0,0 +1,60 @@
+package org.landingridge.controller.recovery;
+
+/**
+ * A verdict with its reason.
+ *
+ * @param cause one of a fixed set, the reason column of the tables in {@code docs/recovery.md}
+ */
+public record Judgement(Verdict verdict, Cause cause) {
+    /** Why; the text is for people. */
+    public enum Cause {
+        RETURNING("the cloud has been asked to take it back"),
+        STOPPED("the cloud lists it as failed"),
+        LEASE_OVER("its lease is over, so it holds nothing"),
+        SILENT_FOR_LONG("stays silent"),
+        NEVER_UP("never came up"),
+        BOOTING("it boots"),
+        FAULTY("fails its tasks"),
+        OLD_TOKEN("it has not seen this leader's token"),
+        UNWRITTEN("its row in the roster is not stored yet"),
+        KNOWN("it reports"),
+        REPORT_DUE("its report is due"),
+        UNHEARD("its report is overdue"),
+        SETTLED_BY_RETURN("silent, and what it held cannot wait for its lease"),
+        CUT_OFF("its lease; so many fall silent at once where a network is cut"),
+        LEASE("its lease"),
+
+        GIVEN_BACK("it was given back: the report is an old one"),
+        OLDER("something newer is known"),
+        HIGHER_TOKEN("somebody may lead after us"),
+
+        JOB_OVER("its job is over"),
+        NO_SUCH_JOB("no such job is stored"),
+        NO_SUCH_TASK("the job has no task of this number"),
+        ELSEWHERE("the task is on another machine"),
+        FINISHED("the task has finished"),
+        RUNS("it runs"),
+        RESULT("its result is new"),
+        UNSTORED("its result is not stored yet"),
+        ENDED("it has ended without a result"),
+
+        OWN("no earlier leader knew the job"),
+        SEEN("this leader has seen it on a fenced machine, and lost it"),
+        NOBODY_HOLDS("every machine that could hold it is accounted for"),
+        MAY_BE_HELD("a machine that may hold it is not accounted for");
+
+        private final String text;
+
+        Cause(String text) {
+            this.text = text;
+        }
+
+        public String text() {
+            return text;
+        }
+    }
+
+    public boolean is(Verdict v) {
+        return verdict == v;
+    }
+}
--- a/controller/src/main/java/org/landingridge/controller/reign/Inventory.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Inventory.java
@@ -10,6 +10,8 @@
 import org.landingridge.controller.fleet.Fleet;
 import org.landingridge.controller.fleet.Machine;
 import org.landingridge.controller.ops.Operations;
+import org.landingridge.controller.recovery.Judgement;
+import org.landingridge.controller.recovery.Verdict;
 import org.landingridge.wire.CloudMachine;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -43,15 +45,15 @@
         listedAt.remove(id);
     }
 
-    /** Machines that never came up, or have been silent for long, go back. */
-    void overdue(long now) {
+    /** Machines that are of no use go back: those that never came up, fail, or are lost for all that is known. */
+    void giveBack(long now) {
         List<String> back = new ArrayList<>();
         for (Machine m : fleet.machines()) {
-            if (fleet.overdue(m, now, Math.round(parts.policy().bootMarginS() * 1000))) {
-                LOG.info("{} is silent or never came up: giving it back", m.id());
-                parts.incidents().say(m.id() + (m.state() == Machine.State.BOOTING ? " never came up"
-                        : m.state() == Machine.State.LAPSED ? " stays silent" : " fails its tasks") + ": given back");
-                fleet.leaving(m);
+            Judgement judgement = fleet.judge(m, now);
+            if (judgement.is(Verdict.GIVE_BACK)) {
+                LOG.info("{} goes back: {}", m.id(), judgement.cause().text());
+                parts.incidents().say(m.id() + ": " + judgement.cause().text() + "; given back");
+                fleet.giveBack(m, judgement);
                 back.add(m.id());
             }
         }
--- a/controller/src/main/java/org/landingridge/controller/reign/Reign.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Reign.java
@@ -75,7 +75,7 @@
                 id -> {
                     Job job = table.get(id);
                     return job == null ? null : job.spec();
-                }, parts.metrics(), parts.incidents(), this);
+                }, policy, settings.machine().maxConnections(), parts.metrics(), parts.incidents(), this);
         parts.metrics().takeovers.increment();
         parts.incidents().say("this controller took the lead under token " + lead.token());
         roster = new Roster(root, writer, fleet, settings.stateLimits().valueKb());
@@ -285,7 +285,7 @@
             return;
         }
         if (lead.mayAct()) {
-            inventory.overdue(loop.now());
+            inventory.giveBack(loop.now());
             inventory.list();
             changed();
         }
