Rents wait until what is there is known; experiments count orders and what runs again

Need: a first start with 800 machines up rented 600 that nobody needed; reports of experiments told nothing of orders. Change: recovery.Picture: no rent before a list was read and no unknown machine has turned up for a second, for a report's time at most. A start on its way straight to a machine is not repeated in the answer that crosses it. Silent machines of a census are asked once reports have stopped coming in. Experiments: recoveries (led, known, placed again, services apart), orders by kind with their busiest second and needless ones, faults lose_zone and cut_zone.

--- a/controller/src/main/java/org/landingridge/controller/fleet/Appraisal.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Appraisal.java
@@ -19,6 +19,8 @@
     /** While so few are left to be heard after an election, each is asked at once instead of waited for. */
     private static final int FEW = 12;
     private static final int FEW_SHARE = 8;
+    /** Reports have come in, mostly, once no machine was heard for the first time for so long. */
+    private static final long LULL_MS = 400;
     /** Calls without an answer after which a silent machine counts as unanswered. */
     private static final int ASKED = 2;
     /** A return that would settle no more than this sooner than the lease is not worth the machine. */
@@ -108,7 +110,7 @@
         if (m.everHeard()) {
             return now - m.heard > reportMs * (1 + REPORT_SLACK) + WAY_MS;
         }
-        boolean few = census.left() <= Math.max(FEW, census.asked() / FEW_SHARE);
+        boolean few = census.left() <= Math.max(FEW, census.asked() / FEW_SHARE) || now - census.lastAt() > LULL_MS;
         return !m.inCensus || now - began > (few ? WAY_MS : reportMs * (1 + REPORT_SLACK) + WAY_MS);
     }
 
--- a/controller/src/main/java/org/landingridge/controller/fleet/Attempt.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Attempt.java
@@ -20,6 +20,8 @@
     long reportedWith = -1;
     /** The report in whose answer the start was last sent, -1 if in none. */
     long sentWithReport = -1;
+    /** When it was last sent straight to the machine in a call that is still out; far in the past if there is none. */
+    long directAt = Long.MIN_VALUE / 2;
     /** Token of a direct start that got no answer and so may still arrive; 0 if there is none. */
     long unansweredUnder;
     boolean stopWanted;
--- a/controller/src/main/java/org/landingridge/controller/fleet/Census.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Census.java
@@ -15,6 +15,8 @@
     private final Ground ground;
     private int left;
     private int asked;
+    /** When one was accounted for last. */
+    private long lastAt;
     /** Of those left, by what a job may ask for: type, zone and whether it is a spot machine. */
     private final Map<Kind, Integer> kinds = new HashMap<>();
 
@@ -35,11 +37,16 @@
 
     void add(Machine m) {
         m.inCensus = true;
+        lastAt = ground.loop().now();
         left++;
         asked++;
         kinds.merge(new Kind(m), 1, Integer::sum);
     }
 
+    long lastAt() {
+        return lastAt;
+    }
+
     /** How many there were to be accounted for. */
     int asked() {
         return asked;
@@ -67,6 +74,7 @@
         if (m.inCensus) {
             m.inCensus = false;
             left--;
+            lastAt = ground.loop().now();
             kinds.computeIfPresent(new Kind(m), (k, n) -> n == 1 ? null : n - 1);
             if (left == 0) {
                 LOG.info("census complete: {} machines accounted for", asked);
--- a/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
@@ -46,6 +46,9 @@
 
         /** The machine's row in the roster must be written anew. */
         void roster(Machine machine);
+
+        /** A machine has reported that nobody knew of. */
+        void newcomer();
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
@@ -373,6 +376,9 @@
             return;
         }
         Machine m = appeared(r.machine(), r.addr(), r.type(), r.zone(), r.spot());
+        if (known == null && m != null) {
+            events.newcomer();
+        }
         if (m == null) {
             exchange.answer(503, error("unknown machine type"));
             return;
--- a/controller/src/main/java/org/landingridge/controller/fleet/Orders.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Orders.java
@@ -15,6 +15,8 @@
 final class Orders {
     private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
     private static final long CALL_MS = 1_500;
+    /** A call that was not answered by now may be lost. */
+    private static final long CROSSING_MS = 300;
     /** Pause after a call without an answer, before the machine is asked once more. */
     private static final long ASK_PAUSE_MS = 400;
     /** Questions at a time take this part of the connections at most, and never fewer than so many. */
@@ -78,8 +80,9 @@
         }
         if (m.state() == Machine.State.UP) {
             for (Attempt a : m.attempts.values()) {
-                if (a.state() == Attempt.State.SENT && !a.stopWanted
-                        && (!direct || a.sentWithReport < 0 && a.unansweredUnder == 0)) {
+                // A start that is on its way straight to the machine is not repeated in the answer that crosses it.
+                if (a.state() == Attempt.State.SENT && !a.stopWanted && (direct
+                        ? a.sentWithReport < 0 && a.unansweredUnder == 0 : now - a.directAt > CROSSING_MS)) {
                     c.start(a.job, a.task, a.number);
                     if (!direct) {
                         a.sentWithReport = report;
@@ -105,11 +108,13 @@
         for (Attempt a : m.attempts.values()) {
             if (a.state() == Attempt.State.SENT && !a.stopWanted && a.sentWithReport < 0 && a.unansweredUnder == 0) {
                 starts.add(a);
+                a.directAt = now;
             }
         }
         m.calling = true;
         ground.http().call(m.addr, "POST", "/commands", c.direct(token, m.session), CALL_MS, reply -> {
             m.calling = false;
+            starts.forEach(a -> a.directAt = Long.MIN_VALUE / 2);
             if (closed) {
                 return;
             }
--- a/controller/src/main/java/org/landingridge/controller/fleet/Roster.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Roster.java
@@ -25,10 +25,20 @@
     private static final String IMAGES = "images";
     private static final int MAX_IMAGES = 36;
     private static final int MAX_IMAGE_NAME = 24;
+    /** Of a value so much may be filled; the rest is for names of images that come later. */
+    private static final double FILL = 0.85;
+    /** What a row takes beside its texts, its images' digits included. */
+    private static final int ROW = 24;
+    /** An address that is not known yet is taken to be so long. */
+    private static final int ADDRESS = 22;
+    /** Ranks of a page that makes machines usable, and of one that only tells of them. */
+    private static final int USABLE = 2;
+    private static final int LATER = 6;
     private final String root;
     private final GroupWriter writer;
     private final Fleet fleet;
-    private final int perPage;
+    private final int pageBytes;
+    private final int valueBytes;
     private final List<Page> pages = new ArrayList<>();
     private final Map<String, Page> pageOf = new HashMap<>();
 
@@ -36,8 +46,8 @@
         this.root = root;
         this.writer = writer;
         this.fleet = fleet;
-        // Names of images are short enough to leave room for the machines; a page's rows are counted at their longest.
-        this.perPage = (int) Math.max(4, (valueKb * 1024 * 0.9 - MAX_IMAGES * (MAX_IMAGE_NAME + 3)) / 110);
+        this.valueBytes = (int) (valueKb * 1024);
+        this.pageBytes = (int) (valueBytes * FILL);
     }
 
     /** Takes over a page as it stands in the state service. */
@@ -50,11 +60,11 @@
                 return;
             }
             JsonNode row = e.getValue();
-            page.ids.put(e.getKey(), Boolean.TRUE);
             pageOf.put(e.getKey(), page);
             fleet.fromRoster(e.getKey(), row.path(0).isTextual() ? row.path(0).textValue() : null,
                     row.path(1).asText(), row.path(2).asText(), row.path(3).asInt() == 1);
             Machine m = fleet.machine(e.getKey());
+            page.put(m);
             for (char digit : row.path(4).asText().toCharArray()) {
                 m.used(Json.text(images, Character.digit(digit, MAX_IMAGES)));
             }
@@ -64,7 +74,8 @@
     public void add(Machine m) {
         Page page = pageOf.get(m.id);
         if (page == null) {
-            page = pages.stream().filter(p -> p.ids.size() < perPage).findFirst().orElse(null);
+            int size = size(m);
+            page = pages.stream().filter(p -> p.bytes + size <= pageBytes).findFirst().orElse(null);
             if (page == null) {
                 int n = 0;
                 while (taken(root + PREFIX + n)) {
@@ -73,27 +84,34 @@
                 page = new Page(root + PREFIX + n);
                 pages.add(page);
             }
-            page.ids.put(m.id, Boolean.TRUE);
             pageOf.put(m.id, page);
         }
+        page.put(m);
         writer.mark(page);
     }
 
     public void remove(String id) {
         Page page = pageOf.remove(id);
         if (page != null) {
-            page.ids.remove(id);
+            page.bytes -= page.ids.remove(id);
             writer.mark(page);
         }
     }
 
+    /** Bytes that the machine's row may take. */
+    private static int size(Machine m) {
+        return ROW + m.id.length() + m.type.length() + m.zone.length() + (m.addr == null ? ADDRESS : m.addr.length());
+    }
+
     private boolean taken(String key) {
         return pages.stream().anyMatch(p -> p.key.equals(key));
     }
 
     private final class Page implements Document {
         private final String key;
-        private final Map<String, Boolean> ids = new LinkedHashMap<>();
+        /** Machines with what their rows may take. */
+        private final Map<String, Integer> ids = new LinkedHashMap<>();
+        private int bytes;
         /** Machines that stand with their address in the form rendered last. */
         private List<String> holding = List.of();
 
@@ -101,6 +119,12 @@
             this.key = key;
         }
 
+        void put(Machine m) {
+            int size = size(m);
+            Integer before = ids.put(m.id, size);
+            bytes += size - (before == null ? 0 : before);
+        }
+
         @Override
         public String key() {
             return key;
@@ -108,10 +132,17 @@
 
         @Override
         public JsonNode render() {
-            holding = new ArrayList<>();
             if (ids.isEmpty()) {
+                holding = List.of();
                 return null;
             }
+            ObjectNode n = render(true);
+            // What images there are is a hint: it gives way to the machines.
+            return Json.bytes(n).length <= valueBytes ? n : render(false);
+        }
+
+        private ObjectNode render(boolean hints) {
+            holding = new ArrayList<>();
             ObjectNode n = Json.object();
             Map<String, Integer> images = new LinkedHashMap<>();
             for (String id : ids.keySet()) {
@@ -119,7 +150,7 @@
                 if (m != null) {
                     ArrayNode row = n.putArray(id);
                     boolean holds = m.mayHold() || m.inCensus;
-                    row.add(holds ? m.addr : null).add(m.type).add(m.zone).add(m.spot ? 1 : 0).add(digits(m, images));
+                    row.add(holds ? m.addr : null).add(m.type).add(m.zone).add(m.spot ? 1 : 0).add(hints ? digits(m, images) : "");
                     if (holds) {
                         holding.add(id);
                     }
@@ -157,7 +188,13 @@
 
         @Override
         public int rank() {
-            return 2;
+            for (String id : ids.keySet()) {
+                Machine m = fleet.machine(id);
+                if (m != null && !m.written && m.mayHold()) {
+                    return USABLE;
+                }
+            }
+            return LATER;
         }
     }
 }
--- a/controller/src/main/java/org/landingridge/controller/reign/Inventory.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Inventory.java
@@ -23,18 +23,23 @@
     private final Fleet fleet;
     private final Operations operations;
     private final Consumer<List<String>> gonePerList;
+    private final Runnable listed;
     /** When a list that shows the machine was first asked for. */
     private final Map<String, Long> listedAt = new HashMap<>();
     private boolean listing;
     private long nextList;
     private boolean closed;
 
-    /** @param gonePerList told of machines that the cloud has taken, by its lists */
-    Inventory(Parts parts, Fleet fleet, Operations operations, Consumer<List<String>> gonePerList) {
+    /**
+     * @param gonePerList told of machines that the cloud has taken, by its lists
+     * @param listed      told of each list that was read
+     */
+    Inventory(Parts parts, Fleet fleet, Operations operations, Consumer<List<String>> gonePerList, Runnable listed) {
         this.parts = parts;
         this.fleet = fleet;
         this.operations = operations;
         this.gonePerList = gonePerList;
+        this.listed = listed;
     }
 
     void close() {
@@ -89,6 +94,7 @@
                 }
             }
             absent(machines, asked, lag);
+            listed.run();
         });
     }
 
--- a/controller/src/main/java/org/landingridge/controller/reign/Pass.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Pass.java
@@ -14,6 +14,7 @@
 import org.landingridge.controller.fleet.Task;
 import org.landingridge.controller.ops.Operation;
 import org.landingridge.controller.ops.Operations;
+import org.landingridge.controller.recovery.Picture;
 import org.landingridge.controller.sched.Group;
 import org.landingridge.controller.sched.Node;
 import org.landingridge.controller.sched.Peak;
@@ -37,12 +38,14 @@
     private final Map<String, Long> noCapacityUntil = new HashMap<>();
     private final Map<String, Integer> refusals = new HashMap<>();
     private final Peak standing = new Peak();
+    private final Picture picture;
 
-    Pass(Parts parts, Fleet fleet, Operations operations, Expectations expectations) {
+    Pass(Parts parts, Fleet fleet, Operations operations, Expectations expectations, Picture picture) {
         this.parts = parts;
         this.fleet = fleet;
         this.operations = operations;
         this.expectations = expectations;
+        this.picture = picture;
         for (String team : parts.settings().teams().keySet()) {
             teamIndex.put(team, teamIndex.size());
         }
@@ -201,8 +204,9 @@
         }
         plan.vacated.forEach(n -> fleet.drain((Machine) n.machine));
         fleet.flush();
+        boolean known = picture.state(parts.loop().now()) == Picture.State.COMPLETE;
         for (Plan.Rent r : plan.rents) {
-            if (!operations.renting(r.type(), r.zone(), r.spot())) {
+            if (known && !operations.renting(r.type(), r.zone(), r.spot())) {
                 operations.rent(r.type(), r.zone(), r.spot(), r.count());
             }
         }
--- a/controller/src/main/java/org/landingridge/controller/reign/Reign.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Reign.java
@@ -24,6 +24,7 @@
 import org.landingridge.controller.ops.Operation;
 import org.landingridge.controller.ops.Operations;
 import org.landingridge.controller.progress.Progress;
+import org.landingridge.controller.recovery.Picture;
 import org.landingridge.controller.sched.Scheduler;
 import org.landingridge.controller.store.GroupWriter;
 import org.landingridge.controller.store.Keys;
@@ -43,6 +44,8 @@
     private static final long PASS_MS = 25;
     /** A pass looks at every machine and job: the pause before it grows by a millisecond for so many of them. */
     private static final int PASS_STEP = 25;
+    /** Beyond a report's time a new leader waits so long at most before it rents. */
+    private static final long GATHER_MS = 1_500;
     private final Parts parts;
     private final Loop loop;
     private final Leadership lead;
@@ -58,6 +61,7 @@
     private final Expectations expectations;
     private final Pass pass;
     private final Inventory inventory;
+    private final Picture picture;
     private boolean passDue;
     private boolean closed;
 
@@ -116,8 +120,9 @@
         compactor = new Compactor(parts.client(), parts.mirror(), loop, table, parts.history(), parts.roll(),
                 parts.metrics(), this, lead::writeGuard, settings.stateLimits().txnOps(),
                 settings.stateLimits().writeRps(), historyShare());
-        pass = new Pass(parts, fleet, operations, expectations);
-        inventory = new Inventory(parts, fleet, operations, this::givenBack);
+        picture = new Picture(loop.now(), Math.round(settings.workers().reportS() * 1250) + GATHER_MS);
+        pass = new Pass(parts, fleet, operations, expectations, picture);
+        inventory = new Inventory(parts, fleet, operations, this::givenBack, picture::listed);
         LOG.info("leading under token {}: {} jobs, {} machines on the roster", lead.token(), table.active().size(),
                 fleet.size());
         fleet.start();
@@ -205,6 +210,11 @@
         roster.add(machine);
     }
 
+    @Override
+    public void newcomer() {
+        picture.newcomer(loop.now());
+    }
+
     @Override
     public void stored(Task task) {
         fleet.stored(task);
--- a/emulator/src/main/java/org/landingridge/emulator/Cloud.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Cloud.java
@@ -44,6 +44,10 @@
             this.spot = spot;
             this.rentedAt = loop.now();
         }
+
+        public String pool() {
+            return zone + (spot ? "/spot" : "/ordinary");
+        }
     }
 
     private final Loop loop;
@@ -160,6 +164,7 @@
             if (seen != null && seen != request.hashCode()) {
                 truth.misused("one booking with two requests: " + booking);
             }
+            boolean repeated = made != null;
             if (made == null) {
                 boolean spot = body.get("standby").booleanValue();
                 long used = boxes.values().stream().filter(b -> !b.deleted && b.spot == spot).count();
@@ -174,11 +179,18 @@
                 }
                 bookings.put(booking, made);
             }
+            made.forEach(id -> truth.ordered(Truth.Order.RENT, id, null, boxes.get(id).pool(), repeated));
             ObjectNode n = Json.object();
             made.forEach(n.putArray("boxes")::add);
             x.answer(200, Json.bytes(n));
         } else if (x.path().equals("/hosts/return")) {
-            body.get("boxes").forEach(b -> delete(b.textValue()));
+            body.get("boxes").forEach(b -> {
+                Box box = boxes.get(b.textValue());
+                if (box != null) {
+                    truth.ordered(Truth.Order.GIVE_BACK, box.id, null, box.pool(), box.deleted);
+                }
+                delete(b.textValue());
+            });
             x.answer(200, Json.bytes(Json.object()));
         } else if (x.path().equals("/hosts")) {
             long asOf = loop.now() - offer.listLagMs() / 2 - random.nextInt((int) offer.listLagMs());
--- a/emulator/src/main/java/org/landingridge/emulator/Rules.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Rules.java
@@ -24,6 +24,8 @@
     private final Map<String, Double> used = new HashMap<>();
     public final Set<String> completed = new HashSet<>();
     public final Map<String, Double> limits = new HashMap<>();
+    /** Told of every order that arrives; null where nobody counts them. */
+    public Orders orders;
     private final Loop loop;
     private final long cancelMs;
     public int starts;
@@ -49,6 +51,13 @@
         return completed.contains(task);
     }
 
+    @Override
+    public void ordered(Order order, String machine, String attempt, String pool, boolean repeated) {
+        if (orders != null) {
+            orders.ordered(order, machine, attempt, pool, repeated);
+        }
+    }
+
     @Override
     public void misused(String what) {
         broke("misused", what);
--- a/emulator/src/main/java/org/landingridge/emulator/Truth.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Truth.java
@@ -16,6 +16,24 @@
     /** A task that ran is off its machine. */
     void ends(String task, boolean done);
 
+    /** What a controller can order. */
+    enum Order { START, STOP, CLEAR, RENT, GIVE_BACK, CALL }
+
+    /** Whoever counts orders. */
+    interface Orders {
+        void ordered(Order order, String machine, String attempt, String pool, boolean repeated);
+    }
+
+    /**
+     * A controller's order has arrived where it is carried out.
+     *
+     * @param machine  the machine concerned
+     * @param attempt  of starts, stops and clears; null else
+     * @param pool     zone and kind of the machine
+     * @param repeated it had been carried out before and changes nothing
+     */
+    default void ordered(Order order, String machine, String attempt, String pool, boolean repeated) {}
+
     /** A stand-in was used against its protocol. */
     void misused(String what);
 }
--- a/emulator/src/main/java/org/landingridge/emulator/Worker.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Worker.java
@@ -66,6 +66,10 @@
         dead = true;
     }
 
+    public boolean hangs() {
+        return hangs;
+    }
+
     public int images() {
         return images.size();
     }
@@ -204,15 +208,20 @@
         for (JsonNode c : cues) {
             String name = c.get("take").textValue() + "#" + c.get("try").longValue();
             switch (c.get("cue").textValue()) {
-                case "start" -> start(name);
+                case "start" -> {
+                    truth.ordered(Truth.Order.START, box.id, name, box.pool(), tasks.containsKey(name));
+                    start(name);
+                }
                 case "halt" -> {
                     Run run = tasks.get(name);
+                    truth.ordered(Truth.Order.STOP, box.id, name, box.pool(), run == null || run.status.equals("ended"));
                     if (run != null && !run.status.equals("ended")) {
                         over(name, run, "halted");
                     }
                 }
                 case "clear" -> {
                     Run run = tasks.get(name);
+                    truth.ordered(Truth.Order.CLEAR, box.id, name, box.pool(), run == null);
                     if (run != null && run.status.equals("ended")) {
                         tasks.remove(name);
                     }
@@ -305,6 +314,7 @@
             token = given;
             changed = true;
         }
+        truth.ordered(Truth.Order.CALL, box.id, null, box.pool(), false);
         if (valid) {
             execute(body.get("cues"));
         }
--- a/experiment/src/main/java/org/landingridge/experiment/Experiment.java
+++ b/experiment/src/main/java/org/landingridge/experiment/Experiment.java
@@ -35,7 +35,8 @@
     /** Something that goes wrong. */
     public record Fault(double atS, Kind kind, double forS, int count, double share) {
         public enum Kind {
-            CRASH_LEADER, CRASH_ALL, STATE_OUTAGE, CUT_LEADER_STATE, CUT_LEADER_WORKERS, HANG_MACHINES, LOSE_MACHINES,
+            CRASH_LEADER, CRASH_ALL, STATE_OUTAGE, CUT_LEADER_STATE, CUT_LEADER_WORKERS, HANG_MACHINES, LOSE_MACHINES, LOSE_ZONE,
+            CUT_ZONE,
             LOST_ANSWERS
         }
     }
--- a/experiment/src/main/java/org/landingridge/experiment/ExperimentCommand.java
+++ b/experiment/src/main/java/org/landingridge/experiment/ExperimentCommand.java
@@ -37,8 +37,12 @@
                     + " played in %.1f s%n", seed, o.broken().size(), o.done(), o.submitted(), o.cancelled(), o.repeats(),
                     o.leaderKb() / 1024.0, o.tookS());
             o.broken().stream().limit(10).forEach(b -> System.out.println("  " + b));
-            o.takeovers().forEach(t -> System.out.printf("  leader lost at %.1f s: led after %.1f s, 95%% of machines known"
-                    + " after %.1f s, all after %.1f s%n", t.atS(), t.ledS(), t.mostS(), t.allS()));
+            o.recoveries().forEach(r -> System.out.printf("  leader lost at %.1f s: led after %.1f s, 95%% of machines known"
+                    + " after %.1f s, all after %.1f s; %d services lost, 95%% run again after %.1f s, all after %.1f s;"
+                    + " %d others, %.1f s and %.1f s%n", r.atS(), r.ledS(), r.mostS(), r.allS(), r.services(),
+                    r.servicesMostS(), r.servicesAllS(), r.others(), r.othersMostS(), r.othersAllS()));
+            o.orders().values().forEach(c -> System.out.printf("  %-9s %6d, most in a second %5d (at %d s), needless %d%n",
+                    c.order(), c.sum(), c.busiest(), c.busiestAtS(), c.needless()));
             System.out.printf("  %d submissions accepted, %d later than a second, %d of these with everything up; %.1f s"
                     + " without state service or controllers%n", o.admissions().accepted(), o.admissions().late(),
                     o.admissions().lateInSpite(), o.admissions().closedS());
--- a/experiment/src/main/java/org/landingridge/experiment/Play.java
+++ b/experiment/src/main/java/org/landingridge/experiment/Play.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import org.landingridge.controller.store.Keys;
+import org.landingridge.emulator.Truth;
 import org.landingridge.emulator.Worker;
 import org.landingridge.wire.JobSpec;
 import org.landingridge.wire.Priority;
@@ -17,16 +18,14 @@
     /** One second of a play. */
     record Sample(int second, int machines, int running, int live, int requests, int changes) {}
 
-    /** A takeover, from the fault until a controller leads, until most machines are known to it, and until all are. */
-    record Takeover(double atS, double ledS, double mostS, double allS) {}
-
     /**
      * What came out.
      *
      * @param busyMs milliseconds of this machine's processor that all leaders' threads spent, by part
      */
     record Outcome(long seed, List<String> broken, int submitted, int done, int cancelled, int repeats, int refused,
-            List<Sample> samples, List<Takeover> takeovers, Admissions.Result admissions, Map<String, Long> busyMs,
+            List<Sample> samples, List<Recovery.Result> recoveries, Map<Truth.Order, OrderBook.Count> orders,
+            Admissions.Result admissions, Map<String, Long> busyMs,
             int requests, int mostWrites, long leaderKb, double tookS) {}
 
     private static final int FIRST = 100_000;
@@ -34,17 +33,14 @@
     private final World world;
     private final SplittableRandom random;
     private final List<Sample> samples = new ArrayList<>();
-    private final List<Takeover> takeovers = new ArrayList<>();
+    private final List<Recovery> recoveries = new ArrayList<>();
+    private final OrderBook orders;
     private final Map<String, Long> busy = new TreeMap<>();
     /** By process: what its thread has spent. */
     private final Map<Object, Map<String, Long>> busyOf = new LinkedHashMap<>();
     private int number;
     private int submitted;
     private int requestsBefore;
-    /** Of the fault that took the leader away; negative while there is none. */
-    private double lostAtS = -1;
-    private double ledAtS = -1;
-    private double mostAtS = -1;
 
     private Play(Experiment plan, long seed) {
         this.plan = plan;
@@ -52,6 +48,9 @@
         world = new World(new World.Setup(seed, plan.controllers(), plan.machines(), Math.round(plan.bootS() * 1000),
                 Math.round(plan.reportS() * 1000), Math.round(plan.leaseS() * 1000), plan.teams(), plan.state()));
         world.sim.measured = true;
+        orders = new OrderBook(() -> world.sim.now, id -> world.workers.stream().anyMatch(w -> w.box().id.equals(id)
+                && !w.hangs()), world.rules.cancelAsked::contains);
+        world.rules.orders = orders;
         number = FIRST + plan.ended();
     }
 
@@ -82,7 +81,8 @@
         }
         long leaderKb = leaderKb();
         return new Outcome(seed, List.copyOf(world.rules.broken), submitted, (int) world.over("done"),
-                (int) world.over("cancelled"), world.rules.repeats, world.state.tooMany, samples, takeovers, world.admissions.result(), busy,
+                (int) world.over("cancelled"), world.rules.repeats, world.state.tooMany, samples, recoveries.stream().map(Recovery::result).toList(), orders.counts(),
+                world.admissions.result(), busy,
                 world.state.requests(), world.state.mostWrites, leaderKb, (System.nanoTime() - began) / 1e9);
     }
 
@@ -139,6 +139,11 @@
                     world.at(world.sim.now + forMs, world.sim::heal);
                 }
             }
+            case LOSE_ZONE -> zone().forEach(w -> world.cloud.delete(w.box().id));
+            case CUT_ZONE -> {
+                zone().forEach(w -> world.nodes.forEach(n -> world.sim.cut(n.host.name, w.box().id)));
+                world.at(world.sim.now + forMs, world.sim::heal);
+            }
             case HANG_MACHINES -> some(f.count()).forEach(w -> {
                 w.hang(true);
                 world.at(world.sim.now + forMs, () -> w.hang(false));
@@ -151,6 +156,11 @@
         }
     }
 
+    /** The machines of one zone. */
+    private List<Worker> zone() {
+        return world.workers.stream().filter(w -> w.box().zone.equals("b")).toList();
+    }
+
     private List<Worker> some(int count) {
         List<Worker> left = new ArrayList<>(world.workers);
         List<Worker> chosen = new ArrayList<>();
@@ -161,32 +171,17 @@
     }
 
     private void lost() {
-        lostAtS = world.sim.now / 1000.0;
-        ledAtS = -1;
-        mostAtS = -1;
+        recoveries.add(new Recovery(world.sim.now / 1000.0, world.rules));
     }
 
     private void watchLeader(long now) {
-        if (lostAtS < 0) {
+        if (recoveries.isEmpty() || recoveries.get(recoveries.size() - 1).over()) {
             return;
         }
         World.Node leader = world.leader();
         JsonNode status = leader == null || !leader.host.up ? null : world.status(leader);
-        if (status == null || !status.has("machines")) {
-            return;
-        }
-        double at = now / 1000.0;
-        int unknown = status.path("unaccounted").asInt();
-        if (ledAtS < 0) {
-            ledAtS = at;
-        }
-        if (mostAtS < 0 && unknown * 20 <= world.workers.size()) {
-            mostAtS = at;
-        }
-        if (unknown == 0) {
-            takeovers.add(new Takeover(lostAtS, ledAtS - lostAtS, mostAtS - lostAtS, at - lostAtS));
-            lostAtS = -1;
-        }
+        int unknown = status == null || !status.has("machines") ? -1 : status.path("unaccounted").asInt();
+        recoveries.get(recoveries.size() - 1).look(now / 1000.0, unknown, world.workers.size(), world.rules);
     }
 
     private void sample(int second) {
--- a/experiment/src/main/java/org/landingridge/experiment/Report.java
+++ b/experiment/src/main/java/org/landingridge/experiment/Report.java
@@ -32,9 +32,10 @@
         Map<String, Object> context = new LinkedHashMap<>();
         context.put("plan", plan);
         context.put("outcomes", outcomes.stream().map(Report::row).toList());
-        context.put("takeovers", outcomes.stream().flatMap(o -> o.takeovers().stream().map(t -> Map.of("seed", o.seed(),
-                "at", decimal(t.atS()), "led", decimal(t.ledS()), "most", decimal(t.mostS()), "all", decimal(t.allS()))))
-                .toList());
+        context.put("recoveries", outcomes.stream().flatMap(o -> o.recoveries().stream().map(r -> row(o.seed(), r))).toList());
+        context.put("orders", outcomes.stream().flatMap(o -> o.orders().values().stream().map(c -> Map.of("seed", o.seed(),
+                "order", c.order().name().toLowerCase(Locale.ROOT).replace('_', ' '), "sum", c.sum(), "busiest", c.busiest(), "at", c.busiestAtS(),
+                "needless", c.needless()))).toList());
         context.put("broken", outcomes.stream().flatMap(o -> o.broken().stream().map(b -> o.seed() + ": " + b)).toList());
         context.put("busy", busy(plan, outcomes));
         List<Map<String, String>> charts = new ArrayList<>();
@@ -52,6 +53,27 @@
         Files.writeString(file, page.toString(), StandardCharsets.UTF_8);
     }
 
+    private static Map<String, Object> row(long seed, Recovery.Result r) {
+        Map<String, Object> row = new LinkedHashMap<>();
+        row.put("seed", seed);
+        row.put("at", decimal(r.atS()));
+        row.put("led", since(r.ledS()));
+        row.put("most", since(r.mostS()));
+        row.put("all", since(r.allS()));
+        row.put("services", r.services());
+        row.put("servicesMost", since(r.servicesMostS()));
+        row.put("servicesAll", since(r.servicesAllS()));
+        row.put("others", r.others());
+        row.put("othersMost", since(r.othersMostS()));
+        row.put("othersAll", since(r.othersAllS()));
+        return row;
+    }
+
+    /** Seconds, or that it never came to that. */
+    private static String since(double seconds) {
+        return seconds < 0 ? "never" : decimal(seconds);
+    }
+
     private static Map<String, Object> row(Play.Outcome o) {
         Map<String, Object> row = new LinkedHashMap<>();
         row.put("seed", o.seed());
--- a/experiment/src/test/java/org/landingridge/experiment/ExperimentTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/ExperimentTest.java
@@ -69,8 +69,8 @@
         Play.Outcome two = Play.once(plan, 4);
         assertEquals(List.of(), one.broken());
         assertEquals(one.samples(), two.samples());
-        assertEquals(one.takeovers(), two.takeovers());
-        assertEquals(1, one.takeovers().size());
+        assertEquals(one.recoveries(), two.recoveries());
+        assertEquals(1, one.recoveries().size());
         assertEquals(one.submitted(), one.done());
         assertTrue(one.submitted() >= 4);
         Path page = dir.resolve("r.html");
