A door for submissions; room kept for what a census holds up; a fresh leader gives nothing back in haste

Arrays took the room of services that a census held up, and 562 tasks were stopped in a second. A first start gave 281 machines back within seconds and rented 100 anew. Tasks held up by a census keep room from lower priorities, unless unheard machines can hold them. No quick give-back before a reign is as old as idleS. A claim that lost against another reads who that is before it claims again. settleShare is 0.25.

--- a/controller/src/main/java/org/landingridge/controller/Controller.java
+++ b/controller/src/main/java/org/landingridge/controller/Controller.java
@@ -147,6 +147,7 @@
             lead.handedOver(m);
         } else if (message instanceof Message.Running m) {
             relay.heard(m.host());
+            jobs.lent(m.lent());
             metrics.busy.during(Part.DISPLAY, () -> showRunning(m.counts()));
         } else if (message instanceof Message.Report m) {
             Http.Exchange exchange = relay.carried(m);
@@ -171,8 +172,10 @@
     private void announce() {
         Map<String, Integer> counts = reign.running();
         showRunning(counts);
+        double lent = parts.writer().spare() / (others.size() + 1);
+        jobs.lent(lent);
         for (String other : others) {
-            peers.send(other, new Message.Running(settings.host(), counts));
+            peers.send(other, new Message.Running(settings.host(), counts, lent));
         }
     }
 
--- a/controller/src/main/java/org/landingridge/controller/config/Policy.java
+++ b/controller/src/main/java/org/landingridge/controller/config/Policy.java
@@ -28,7 +28,7 @@
 public record Policy(double leaderHoldS, double bootMarginS, double idleS, double tightIdleS,
         double spareShare, double queryLimitS, double historyShare, double settleShare) {
 
-    public static final Policy DEFAULT = new Policy(3.0, 20.0, 45.0, 600.0, 0.15, 60.0, 0.15, 0.2);
+    public static final Policy DEFAULT = new Policy(3.0, 20.0, 45.0, 600.0, 0.15, 60.0, 0.15, 0.25);
 
     public static Policy read(Path file) throws BadSettings {
         String text;
--- a/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
@@ -56,6 +56,8 @@
     private static final long DRAIN_MS = 30_000;
     /** So long a machine that was given back is known as such. */
     private static final long RETURNED_MS = 900_000;
+    /** One in so many machines without a report are many. */
+    private static final int MANY = 4;
     private final Loop loop;
     private final Leadership lead;
     private final long reignToken;
@@ -190,6 +192,15 @@
                 || m.state() == Machine.State.UP && !(m.fenced && m.written) && m.noticeS == null;
     }
 
+    /**
+     * True if its first report to this leader is due and many others' are. Once most have come in, who is missing has
+     * likely lost what it held.
+     */
+    public boolean unheard(Machine m, long now) {
+        return m.inCensus && census.left() * MANY > census.asked()
+                && appraisal.judge(m, now).cause() == Judgement.Cause.REPORT_DUE;
+    }
+
     public long idleMs(Machine m, long now) {
         return m.hasLive() ? 0 : now - m.idleSince;
     }
--- a/controller/src/main/java/org/landingridge/controller/lead/Leadership.java
+++ b/controller/src/main/java/org/landingridge/controller/lead/Leadership.java
@@ -61,6 +61,7 @@
     private boolean renewing;
     private boolean raising;
     private boolean suspecting;
+    private boolean learning;
     private long claimNotBefore;
     private long silentSince;
     private long renewed = Long.MIN_VALUE / 2;
@@ -180,7 +181,7 @@
             return;
         }
         // A claim needs the state service: without a sign of life from it there is no point in trying.
-        if (!mirror.following() || loop.now() < claimNotBefore || loop.now() - mirror.lastAnswer() > 2_500) {
+        if (learning || !mirror.following() || loop.now() < claimNotBefore || loop.now() - mirror.lastAnswer() > 2_500) {
             return;
         }
         boolean mine = host.equals(leaderHost);
@@ -226,6 +227,11 @@
                 } else {
                     client.release(lease, ignored -> { });
                     claimFailed(200);
+                    if (answer.status() == Status.CONFLICT) {
+                        // Somebody was quicker. Who that is has to be read first: claims made before are lost as well, and
+                        // seven controllers that make them keep the state service from the winner.
+                        learn();
+                    }
                 }
             });
         });
@@ -246,6 +252,15 @@
         });
     }
 
+    /** Makes no claim before the mirror has brought what was there when this is called. */
+    private void learn() {
+        learning = true;
+        mirror.barrier(() -> {
+            learning = false;
+            consider();
+        }, () -> loop.after(200, () -> learning = false));
+    }
+
     private void claimFailed(long pauseMs) {
         claimNotBefore = loop.now() + pauseMs;
         to(State.FOLLOWING);
--- a/controller/src/main/java/org/landingridge/controller/reign/Pass.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Pass.java
@@ -39,6 +39,7 @@
     private final Map<String, Integer> refusals = new HashMap<>();
     private final Peak standing = new Peak();
     private final Picture picture;
+    private final long began;
 
     Pass(Parts parts, Fleet fleet, Operations operations, Expectations expectations, Picture picture) {
         this.parts = parts;
@@ -46,6 +47,7 @@
         this.operations = operations;
         this.expectations = expectations;
         this.picture = picture;
+        this.began = parts.loop().now();
         for (String team : parts.settings().teams().keySet()) {
             teamIndex.put(team, teamIndex.size());
         }
@@ -75,8 +77,9 @@
             if (team < 0) {
                 continue;
             }
-            Group group = new Group(job.spec(), job, job.job().created(), team,
-                    job.notBefore() <= now ? fleet.placeable(job) : 0);
+            int placeable = fleet.placeable(job);
+            Group group = new Group(job.spec(), job, job.job().created(), team, job.notBefore() <= now ? placeable : 0);
+            group.held = job.count(Task.State.PENDING) - placeable;
             expectations.fill(group, job.job(), now, parts.loop().timeOfDay());
             groups.put(job.id(), group);
         }
@@ -97,9 +100,12 @@
         // What an earlier leader may have started cannot be placed during the census: that it does not ask for room now
         // says nothing, and machines given back then were rented again a minute later.
         double kept = standing.most(now, demand(teams, groups.values()), idleMs);
+        // Nor does a fresh leader know what was asked for in the time that counts: a fleet that stood at a first start was
+        // given back within seconds, and rented again.
+        boolean fresh = now - began < Math.round(parts.policy().idleS() * 1000);
         Plan plan = Scheduler.plan(new Scheduler.Input(now, nodes, List.copyOf(groups.values()), teams,
                 List.copyOf(parts.types().values()), closedPools(now), spare,
-                idleMs, fleet.unaccounted() > 0 ? Double.MAX_VALUE : kept));
+                idleMs, fresh || fleet.unaccounted() > 0 ? Double.MAX_VALUE : kept));
         apply(plan);
     }
 
@@ -150,6 +156,7 @@
             Node node = new Node(m.kind(), m.zone(), m.spot(), m, usable, m.images());
             node.idleMs = fleet.idleMs(m, now);
             node.draining = fleet.draining(m, now);
+            node.unheard = fleet.unheard(m, now);
             for (Attempt a : m.attempts().values()) {
                 if (!a.live()) {
                     continue;
--- a/controller/src/main/java/org/landingridge/controller/sched/Group.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Group.java
@@ -13,6 +13,8 @@
     public final long order;
     public final int team;
     public int waiting;
+    /** Tasks that wait too, and may not be started before it is known that no machine holds them. */
+    public int held;
     /** Expected run time of one task, in seconds; 0 where nothing is known or the task stays. */
     public double runS;
     /** Expected run time of its longest task, which decides when the job is over. */
--- a/controller/src/main/java/org/landingridge/controller/sched/Node.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Node.java
@@ -43,6 +43,8 @@
     public long idleMs;
     /** Tasks that wait for their image there: fetches share the machine's rate. */
     public int fetching;
+    /** Not heard yet by a new leader, though it should be soon: held tasks are most likely there. */
+    public boolean unheard;
     /** Vacated a short while ago, to be given back. */
     public boolean draining;
     double cpus;
--- a/controller/src/main/java/org/landingridge/controller/sched/Scheduler.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Scheduler.java
@@ -74,7 +74,7 @@
         }
         List<Group> order = new ArrayList<>();
         for (Group g : in.groups) {
-            if (g.waiting > 0) {
+            if (g.waiting > 0 || g.held > 0) {
                 order.add(g);
             }
         }
@@ -87,8 +87,12 @@
         List<Group> borrowing = new ArrayList<>();
         Map<Group, Integer> within = new LinkedHashMap<>();
         Map<Group, Integer> beyond = new LinkedHashMap<>();
+        Priority last = order.isEmpty() ? null : order.get(order.size() - 1).spec.priority();
         for (Group g : order) {
-            if (place(g, true, within)) {
+            if (g.held > 0 && g.spec.priority().compareTo(last) > 0) {
+                reserve(g);
+            }
+            if (g.waiting > 0 && place(g, true, within)) {
                 borrowing.add(g);
             }
         }
@@ -175,6 +179,27 @@
         return g.waiting * g.runS * g.spec.cpus();
     }
 
+    /**
+     * Keeps room for tasks that cannot be placed yet from work of lower priority, which would be stopped for them a few
+     * seconds after its start. What unheard machines can hold is most likely there, and needs no room elsewhere.
+     */
+    private void reserve(Group g) {
+        int held = g.held;
+        for (Node n : in.nodes) {
+            while (held > 0 && n.unheard && n.allows(g) && n.fits(g.spec)) {
+                n.take(g.spec, true);
+                held--;
+            }
+        }
+        PriorityQueue<Candidate> fitting = held > 0 ? fitting(g) : null;
+        for (Candidate c; held > 0 && (c = next(g, fitting)) != null; held--) {
+            c.node.take(g.spec, true);
+            if (c.node.fits(g.spec)) {
+                fitting.add(new Candidate(score(g, c.node), c.index, c.node));
+            }
+        }
+    }
+
     /** Places what it can; true if tasks wait that lie beyond the team's guarantee. */
     private boolean place(Group g, boolean guaranteed, Map<Group, Integer> unplaced) {
         Team team = in.teams.get(g.team);
--- a/controller/src/main/java/org/landingridge/controller/store/GroupWriter.java
+++ b/controller/src/main/java/org/landingridge/controller/store/GroupWriter.java
@@ -36,6 +36,10 @@
     private State state = State.IDLE;
     private long nextAllowed;
     private long epoch;
+    /** Changes of the present second, and of the one before. */
+    private long second;
+    private int now;
+    private int before;
 
     /**
      * @param writesPerS    puts and deletes a second that the leader may use
@@ -66,6 +70,22 @@
         return state == State.IDLE && dirty.isEmpty();
     }
 
+    /** Changes a second that the leader leaves unused: none while anything waits to be written. */
+    public double spare() {
+        count(0);
+        return idle() ? Math.max(0, 1000 / msPerWrite - Math.max(now, before)) : 0;
+    }
+
+    private void count(int writes) {
+        long at = loop.now() / 1_000;
+        if (at != second) {
+            before = at == second + 1 ? now : 0;
+            now = 0;
+            second = at;
+        }
+        now += writes;
+    }
+
     /** Forgets all documents; for a leader that steps down. */
     public void clear() {
         dirty.clear();
@@ -116,6 +136,7 @@
         }
         to(State.WRITING);
         nextAllowed = loop.now() + Math.round(msPerWrite * writes.size());
+        count(writes.size());
         long began = epoch;
         client.commit(guards, writes, answer -> {
             if (began != epoch) {
--- a/controller/src/main/java/org/landingridge/controller/users/JobService.java
+++ b/controller/src/main/java/org/landingridge/controller/users/JobService.java
@@ -31,6 +31,8 @@
 public final class JobService {
     private static final Logger LOG = LoggerFactory.getLogger(JobService.class);
     private static final int TRIES = 4;
+    /** Of the state service's changes, for all controllers together; the leader lends them more from its own. */
+    private static final double SHARE = 0.5;
     private final StateClient client;
     private final Mirror mirror;
     private final Loop loop;
@@ -39,6 +41,7 @@
     private final Map<String, MachineType> types;
     private final History history;
     private final Metrics metrics;
+    private final Door door;
 
     public JobService(StateClient client, Mirror mirror, Loop loop, JobTable table, History history, Settings settings,
             Map<String, MachineType> types, Metrics metrics) {
@@ -50,6 +53,12 @@
         this.types = types;
         this.history = history;
         this.metrics = metrics;
+        this.door = new Door(loop::now, settings.stateLimits().writeRps() * SHARE / (settings.peers().size() + 1));
+    }
+
+    /** The leader leaves so many changes a second to each controller. */
+    public void lent(double perS) {
+        door.lent(perS);
     }
 
     public void submit(Exchange exchange) {
@@ -117,6 +126,10 @@
             busy(exchange, "the history of this range of jobs changes too often");
             return;
         }
+        if (tries == 0 && !door.admit()) {
+            busy(exchange, "more is submitted than can be stored now", door.comeBackS());
+            return;
+        }
         past(spec.id(), exchange, new Told(exchange, spec.id(), null)::over,
                 found -> put(exchange, spec, found.version(), tries, false));
     }
@@ -303,8 +316,12 @@
 
     /** Refused for now, at once, with the time to come back. */
     private void busy(Exchange exchange, String why) {
+        busy(exchange, why, 1);
+    }
+
+    private void busy(Exchange exchange, String why, int comeBackS) {
         metrics.refused.increment();
-        exchange.answer(503, Json.bytes(Json.object().put("error", why)), 1);
+        exchange.answer(503, Json.bytes(Json.object().put("error", why)), comeBackS);
     }
 
     private static void error(Exchange exchange, int status, String why) {
--- a/experiment/src/main/java/org/landingridge/experiment/Play.java
+++ b/experiment/src/main/java/org/landingridge/experiment/Play.java
@@ -65,9 +65,12 @@
         } else {
             HistoryProbe.seed(world.state, plan.form(), plan.ended());
         }
+        // Up means up: they were rented long before, although the lists, which lag, do not name them yet.
+        world.cloud.bootMs = 0;
         for (int i = 0; i < plan.up(); i++) {
             world.cloud.rent(i % 2 == 0 ? "a" : "b", false);
         }
+        world.cloud.bootMs = Math.round(plan.bootS() * 1000);
         world.enforceLimits();
         plan.arrivals().forEach(this::arrive);
         plan.faults().forEach(f -> world.at(Math.round(f.atS() * 1000), () -> begin(f)));
