The roster tells of silent machines; leases go on through a takeover; the door opens by what is observed

And in the flood of a first start it was the claim of the lead that found no change left: nobody led for 37 s. Change: the row of a machine that is silent and does not answer says for how long, under its leader's token; its reports are answered again only once the row is stored without that. The next leader, and only the next, counts the lease from then. The door keeps to its share only while no leader is heard or the leader comes short.

--- a/controller/src/main/java/org/landingridge/controller/Controller.java
+++ b/controller/src/main/java/org/landingridge/controller/Controller.java
@@ -70,6 +70,8 @@
     private final Map<String, MachineType> types = new LinkedHashMap<>();
     /** Values of the leader's documents as the state service has them: the roster, finished tasks, operations. */
     private final Map<String, JsonNode> documents = new TreeMap<>();
+    /** When each of them came to be known in its present form. */
+    private final Map<String, Long> seenAt = new TreeMap<>();
     private final PeerNet peers;
     private final List<String> others;
     private final Relay relay;
@@ -147,7 +149,7 @@
             lead.handedOver(m);
         } else if (message instanceof Message.Running m) {
             relay.heard(m.host());
-            jobs.lent(m.lent());
+            jobs.leaderHeard(m.comesShort());
             metrics.busy.during(Part.DISPLAY, () -> showRunning(m.counts()));
         } else if (message instanceof Message.Report m) {
             Http.Exchange exchange = relay.carried(m);
@@ -172,10 +174,10 @@
     private void announce() {
         Map<String, Integer> counts = reign.running();
         showRunning(counts);
-        double lent = parts.writer().spare() / (others.size() + 1);
-        jobs.lent(lent);
+        boolean comesShort = parts.writer().starved();
+        jobs.leaderHeard(comesShort);
         for (String other : others) {
-            peers.send(other, new Message.Running(settings.host(), counts, lent));
+            peers.send(other, new Message.Running(settings.host(), counts, comesShort));
         }
     }
 
@@ -221,8 +223,10 @@
         } else {
             if (value == null) {
                 documents.remove(key);
+                seenAt.remove(key);
             } else {
                 documents.put(key, value);
+                seenAt.put(key, loop.now());
             }
             if (key.startsWith(Keys.ROOT + Progress.PREFIX)) {
                 Progress.read(value, table);
@@ -241,7 +245,7 @@
             });
             return;
         }
-        reign = new Reign(parts, documents);
+        reign = new Reign(parts, documents, seenAt);
         table.listener(reign);
         // The others carry reports from the moment they hear of it, instead of sending every worker here.
         for (long at = 0; at < HEAR_MS; at += HEAR_MS / 4) {
--- a/controller/src/main/java/org/landingridge/controller/fleet/Appraisal.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Appraisal.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import org.landingridge.controller.recovery.Judgement;
 import org.landingridge.controller.recovery.MachineEvidence;
-import org.landingridge.controller.recovery.MachineEvidence.Listed;
 import org.landingridge.controller.recovery.MachineEvidence.Row;
 import org.landingridge.controller.recovery.MachineEvidence.Word;
 import org.landingridge.controller.recovery.Reconciliation;
@@ -99,7 +98,7 @@
         boolean mayHold = m.state() == Machine.State.UP || m.inCensus || !m.attempts.isEmpty();
         Row row = !mayHold ? Row.NAMED : m.written || m.inCensus ? Row.HOLDS : Row.REPORTED;
         Word word = !m.everHeard() ? Word.NONE : m.fenced ? Word.OURS : Word.OLD;
-        return Reconciliation.machine(new MachineEvidence(row, word, m.listedFailed ? Listed.FAILED : Listed.UNTOLD,
+        return Reconciliation.machine(new MachineEvidence(row, word, m.listedFailed,
                 m.state() == Machine.State.LEAVING, now > leaseEnds(m), silent(m, now), m.unanswered >= ASKED,
                 overdue(m, now), m.errors >= 4 && !m.hasLive() && m.state() == Machine.State.UP, crowd(m.zone),
                 worth(m, now)));
--- a/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
@@ -260,13 +260,17 @@
 
     // ---- what the reign tells the fleet ----
 
-    /** Adds a machine of the roster, as read at the election. */
-    public void fromRoster(String id, String addr, String type, String zone, boolean spot) {
+    /**
+     * Adds a machine of the roster, as read at the election.
+     *
+     * @param silentSince no earlier leader has answered its reports since then, by the loop's clock
+     */
+    public void fromRoster(String id, String addr, String type, String zone, boolean spot, long silentSince) {
         MachineType kind = types.apply(type);
         Machine m = new Machine(id, addr, kind, zone, spot, loop.now());
         if (addr != null) {
             m.written = true;
-            m.answered = lead.silentSince();
+            m.answered = Math.min(silentSince, lead.silentSince());
             census.add(m);
         }
         machines.put(id, m);
@@ -300,6 +304,16 @@
         }
     }
 
+    /** Milliseconds since one of its reports was answered last. */
+    long silentMs(Machine m) {
+        return loop.now() - m.answered;
+    }
+
+    /** The token under which this reign began. */
+    long token() {
+        return reignToken;
+    }
+
     public void written(Machine m) {
         m.written = true;
         events.changed();
@@ -395,7 +409,18 @@
             return;
         }
         boolean news = reports.merge(m, r, true);
-        Commands commands = news ? orders.commands(m, r.seq()) : new Commands();
+        if (m.voice() != Machine.Voice.HEARD) {
+            // A later leader may count its lease from before: it must read first that this one is answered again.
+            if (m.waiting != null) {
+                m.waiting.answer(503, error("a newer report has come"));
+            }
+            m.waiting = exchange;
+            return;
+        }
+        answer(m, news ? orders.commands(m, r.seq()) : new Commands(), exchange);
+    }
+
+    private void answer(Machine m, Commands commands, Http.Exchange exchange) {
         // The right is checked last: a 200 renews the lease, so it may only be given by the leader.
         if (!lead.mayAct()) {
             exchange.answer(503, error("not entitled to act"));
@@ -405,6 +430,26 @@
         exchange.answer(200, commands.answer(lead.token()));
     }
 
+    /** A silent machine's row is to tell for how long it has been so, before a later leader needs to know. */
+    private void mute(Machine m) {
+        if (m.voice() != Machine.Voice.MUTED && m.written && (m.state() == Machine.State.UP || m.inCensus)
+                && lead.state() == Leadership.State.LEADING) {
+            m.to(Machine.Voice.MUTED);
+            events.roster(m);
+        }
+    }
+
+    /** The row is stored without a silence: the machine is answered again. */
+    void speaks(Machine m) {
+        m.to(Machine.Voice.HEARD);
+        m.told = false;
+        if (m.waiting != null) {
+            Http.Exchange waiting = m.waiting;
+            m.waiting = null;
+            answer(m, new Commands(), waiting);
+        }
+    }
+
     private static byte[] error(String text) {
         return Json.bytes(Json.object().put("error", text));
     }
@@ -421,7 +466,12 @@
         for (Machine m : new ArrayList<>(machines.values())) {
             switch (appraisal.judge(m, now).verdict()) {
                 case PLACE -> lapse(m);
-                case ASK -> orders.ask(m);
+                case ASK -> {
+                    orders.ask(m);
+                    if (m.unanswered > 0) {
+                        mute(m);
+                    }
+                }
                 default -> { }
             }
             stuck |= m.state() == Machine.State.UP && orders.withdrawn(m, now);
@@ -450,7 +500,8 @@
     }
 
     private void lapse(Machine m) {
-        if (m.state() == Machine.State.UP) {
+        // One that this leader never heard is no machine on its way either: counted as such, nothing was rented in its place.
+        if (m.state() == Machine.State.UP || m.inCensus && m.state() == Machine.State.BOOTING) {
             LOG.info("{} is silent: its lease has run out", m.id);
             metrics.lapses.increment();
             int held = (int) m.attempts.values().stream().filter(Attempt::live).count();
@@ -465,6 +516,12 @@
         if (m.written) {
             // From here on it holds nothing; it must be written anew before it is given anything again.
             m.written = false;
+            m.to(Machine.Voice.HEARD);
+            m.told = false;
+            if (m.waiting != null) {
+                m.waiting.answer(503, error("its lease is over"));
+                m.waiting = null;
+            }
             events.roster(m);
         }
         if (!m.attempts.isEmpty()) {
--- a/controller/src/main/java/org/landingridge/controller/fleet/Machine.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Machine.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.agrona.collections.Long2ObjectHashMap;
+import org.landingridge.net.Http;
 import org.landingridge.wire.MachineType;
 
 /** One machine that is or may be rented, as the leader sees it. */
@@ -14,6 +15,13 @@
      */
     public enum State { BOOTING, UP, LAPSED, LEAVING, GONE }
 
+    /**
+     * Whether its reports are answered. HEARD: they are. MUTED: it is silent, and its row in the roster says or is to say
+     * for how long; none of its reports is answered, so that a later leader can count its lease from then. RETURNING: it
+     * was heard again, and is answered once its row is stored without that.
+     */
+    enum Voice { HEARD, MUTED, RETURNING }
+
     final String id;
     final String type;
     final String zone;
@@ -21,6 +29,11 @@
     final MachineType kind;
     String addr;
     private State state = State.BOOTING;
+    private Voice voice = Voice.HEARD;
+    /** A row that tells of its silence is stored, or may be. */
+    boolean told;
+    /** A report that waits for the row to be stored; null while there is none. */
+    Http.Exchange waiting;
     /** In the written roster as one that may hold tasks; no start is sent before. */
     boolean written;
     /** Has shown this leader's token, so that no earlier leader's command can reach it any more. */
@@ -100,6 +113,18 @@
         state = next;
     }
 
+    Voice voice() {
+        return voice;
+    }
+
+    /** The only place where its voice changes. */
+    void to(Voice next) {
+        if (voice == Voice.HEARD && next == Voice.RETURNING) {
+            throw new IllegalStateException(id + ": " + voice + " -> " + next);
+        }
+        voice = next;
+    }
+
     /** True if it may be given tasks, and so must stand in the roster with its address. */
     boolean mayHold() {
         return addr != null && state != State.BOOTING && state != State.LAPSED;
--- a/controller/src/main/java/org/landingridge/controller/fleet/Reports.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Reports.java
@@ -49,6 +49,11 @@
         m.seq = r.seq();
         m.token = r.token();
         m.heard(now);
+        if (m.voice() == Machine.Voice.MUTED) {
+            // Where no row can tell of its silence, as in an outage of the state service, nobody counts by it.
+            m.to(m.told ? Machine.Voice.RETURNING : Machine.Voice.HEARD);
+            ground.events().roster(m);
+        }
         m.addr = r.addr();
         m.noticeS = r.noticeS();
         if (m.state() == Machine.State.BOOTING || m.state() == Machine.State.LAPSED) {
--- a/controller/src/main/java/org/landingridge/controller/fleet/Roster.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Roster.java
@@ -14,7 +14,9 @@
 
 /**
  * The written roster: every machine, many to one stored value. A row with an address is of a machine that may hold
- * tasks; one without has not reported yet, or its lease has run out, and a later leader need not wait for it.
+ * tasks; one without has not reported yet, or its lease has run out, and a later leader need not wait for it. A row may also
+ * say for how many milliseconds its machine had been silent when the page was written, and under which leader's token: that
+ * leader answers it no more before it has written the row without.
  *
  * <p>Beside them stands which images the machines have, as far as was known when the page was last written: a later
  * leader starts services where their image is. That is a hint, and no page is written for it alone.
@@ -50,8 +52,14 @@
         this.pageBytes = (int) (valueBytes * FILL);
     }
 
-    /** Takes over a page as it stands in the state service. */
-    public void takeOver(String key, JsonNode value) {
+    /**
+     * Takes over a page as it stands in the state service.
+     *
+     * @param at       when, by the loop's clock, this process first saw it so
+     * @param previous the token under which the last leader's reign began: only its word on silent machines counts, since a
+     *                 later one may have answered them
+     */
+    public void takeOver(String key, JsonNode value, long at, long previous) {
         Page page = new Page(key);
         pages.add(page);
         JsonNode images = value.path(IMAGES);
@@ -62,7 +70,9 @@
             JsonNode row = e.getValue();
             pageOf.put(e.getKey(), page);
             fleet.fromRoster(e.getKey(), row.path(0).isTextual() ? row.path(0).textValue() : null,
-                    row.path(1).asText(), row.path(2).asText(), row.path(3).asInt() == 1);
+                    row.path(1).asText(), row.path(2).asText(), row.path(3).asInt() == 1,
+                    row.path(5).isNumber() && row.path(6).asLong() == previous ? at - row.path(5).asLong()
+                            : Long.MAX_VALUE);
             Machine m = fleet.machine(e.getKey());
             page.put(m);
             for (char digit : row.path(4).asText().toCharArray()) {
@@ -114,6 +124,10 @@
         private int bytes;
         /** Machines that stand with their address in the form rendered last. */
         private List<String> holding = List.of();
+        /** Machines that the form rendered last calls silent no more. */
+        private List<String> speaking = List.of();
+        /** Machines of whose silence that form was the first to tell. */
+        private List<Machine> telling = List.of();
 
         Page(String key) {
             this.key = key;
@@ -134,8 +148,11 @@
         public JsonNode render() {
             if (ids.isEmpty()) {
                 holding = List.of();
+                speaking = List.of();
                 return null;
             }
+            // Where nobody knows what became of the form before, its machines stay told of.
+            telling = new ArrayList<>();
             ObjectNode n = render(true);
             // What images there are is a hint: it gives way to the machines.
             return Json.bytes(n).length <= valueBytes ? n : render(false);
@@ -143,6 +160,7 @@
 
         private ObjectNode render(boolean hints) {
             holding = new ArrayList<>();
+            speaking = new ArrayList<>();
             ObjectNode n = Json.object();
             Map<String, Integer> images = new LinkedHashMap<>();
             for (String id : ids.keySet()) {
@@ -150,7 +168,17 @@
                 if (m != null) {
                     ArrayNode row = n.putArray(id);
                     boolean holds = m.mayHold() || m.inCensus;
-                    row.add(holds ? m.addr : null).add(m.type).add(m.zone).add(m.spot ? 1 : 0).add(hints ? digits(m, images) : "");
+                    row.add(holds ? m.addr : null).add(m.type).add(m.zone).add(m.spot ? 1 : 0)
+                            .add(hints ? digits(m, images) : "");
+                    if (m.voice() == Machine.Voice.MUTED && holds) {
+                        row.add(fleet.silentMs(m)).add(fleet.token());
+                        if (!m.told) {
+                            m.told = true;
+                            telling.add(m);
+                        }
+                    } else if (m.voice() == Machine.Voice.RETURNING) {
+                        speaking.add(id);
+                    }
                     if (holds) {
                         holding.add(id);
                     }
@@ -184,13 +212,25 @@
                     fleet.written(m);
                 }
             }
+            for (String id : speaking) {
+                Machine m = fleet.machine(id);
+                if (m != null && m.voice() == Machine.Voice.RETURNING) {
+                    fleet.speaks(m);
+                }
+            }
+        }
+
+        @Override
+        public void refused() {
+            telling.forEach(m -> m.told = false);
+            telling = List.of();
         }
 
         @Override
         public int rank() {
             for (String id : ids.keySet()) {
                 Machine m = fleet.machine(id);
-                if (m != null && !m.written && m.mayHold()) {
+                if (m != null && (!m.written && m.mayHold() || m.voice() != Machine.Voice.HEARD)) {
                     return USABLE;
                 }
             }
--- a/controller/src/main/java/org/landingridge/controller/lead/Leadership.java
+++ b/controller/src/main/java/org/landingridge/controller/lead/Leadership.java
@@ -64,6 +64,8 @@
     private boolean learning;
     private long claimNotBefore;
     private long silentSince;
+    /** The token under which the last leader began, before this one. */
+    private long previous;
     private long renewed = Long.MIN_VALUE / 2;
     /** The leader that has stepped down by its own word, by its token: its key may be replaced. */
     private long handedOver;
@@ -114,6 +116,11 @@
         return silentSince;
     }
 
+    /** The token under which the last leader began, before this one; 0 where there was none. */
+    public long previous() {
+        return previous;
+    }
+
     /** Version of the leader's key that the leader's writes are conditional on; 0 while this process may not write. */
     public long writeGuard() {
         return leads() ? token : 0;
@@ -217,6 +224,7 @@
             // What was concluded from the last leader's name holds only if no one has led since.
             List<Guard> guards = List.of(new Guard(key, seen), new Guard(lastKey, seenLast));
             client.commit(guards, writes, answer -> {
+                previous = seenLast;
                 if (answer.ok()) {
                     silentSince = silent;
                     mirror.committed(lastKey, answer.revision());
--- a/controller/src/main/java/org/landingridge/controller/peer/Message.java
+++ b/controller/src/main/java/org/landingridge/controller/peer/Message.java
@@ -24,11 +24,8 @@
     /** The leader of this token has stepped down for good: its key may be replaced. */
     record HandOver(String host, long token) implements Message {}
 
-    /**
-     * How many tasks run of each job, for display; and how many changes a second of its share the leader leaves to each
-     * controller for submissions.
-     */
-    record Running(String host, Map<String, Integer> counts, double lent) implements Message {}
+    /** How many tasks run of each job, for display; and whether the leader comes short of changes in the state service. */
+    record Running(String host, Map<String, Integer> counts, boolean comesShort) implements Message {}
 
     /** A worker's report, carried to the leader by a controller that the worker can reach. */
     record Report(String host, long number, byte[] body) implements Message {}
@@ -64,7 +61,7 @@
                     out.writeUTF(e.getKey());
                     out.writeInt(e.getValue());
                 }
-                out.writeDouble(m.lent);
+                out.writeBoolean(m.comesShort);
             } else if (this instanceof Report m) {
                 head(out, 6, m.host);
                 out.writeLong(m.number);
@@ -103,8 +100,8 @@
                 for (int i = 0; i < n; i++) {
                     counts.put(in.readUTF(), in.readInt());
                 }
-                // A leader of a version before 0.3 lends nothing.
-                yield new Running(host, counts, in.available() >= Double.BYTES ? in.readDouble() : 0);
+                // A leader of a version before 0.3 says nothing of changes.
+                yield new Running(host, counts, in.available() > 0 && in.readBoolean());
             }
             case 6 -> new Report(host, in.readLong(), body(in));
             case 7 -> new Answer(host, in.readLong(), in.readInt(), body(in));
--- a/controller/src/main/java/org/landingridge/controller/recovery/MachineEvidence.java
+++ b/controller/src/main/java/org/landingridge/controller/recovery/MachineEvidence.java
@@ -5,7 +5,7 @@
  *
  * @param row        what the roster says of it
  * @param word       its newest word in this reign
- * @param listed     what the cloud's lists say, as far as they are young enough to tell
+ * @param stopped    the cloud lists it as failed: it stopped on its own
  * @param returning  the cloud has been asked to take it back and has not answered
  * @param leaseOver  nobody can have answered one of its reports for longer than its lease
  * @param silent     nothing has been heard of it for longer than its reports may take
@@ -15,7 +15,7 @@
  * @param crowd      so many machines of its zone are silent that a cut is likelier than losses
  * @param worth      what it holds or holds up would wait noticeably longer for its lease than for the cloud's answer
  */
-public record MachineEvidence(Row row, Word word, Listed listed, boolean returning, boolean leaseOver, boolean silent,
+public record MachineEvidence(Row row, Word word, boolean stopped, boolean returning, boolean leaseOver, boolean silent,
         boolean unanswered, boolean overdue, boolean faulty, boolean crowd, boolean worth) {
 
     /**
@@ -26,6 +26,4 @@
 
     /** NONE: not heard of. OLD: it has not seen this leader's token. OURS: it has, so no earlier leader can reach it. */
     public enum Word { NONE, OLD, OURS }
-
-    public enum Listed { UNTOLD, THERE, FAILED }
 }
--- a/controller/src/main/java/org/landingridge/controller/recovery/Reconciliation.java
+++ b/controller/src/main/java/org/landingridge/controller/recovery/Reconciliation.java
@@ -3,7 +3,6 @@
 import org.landingridge.controller.recovery.EntryEvidence.Known;
 import org.landingridge.controller.recovery.EntryEvidence.Said;
 import org.landingridge.controller.recovery.Judgement.Cause;
-import org.landingridge.controller.recovery.MachineEvidence.Listed;
 import org.landingridge.controller.recovery.MachineEvidence.Row;
 import org.landingridge.controller.recovery.MachineEvidence.Word;
 
@@ -22,7 +21,7 @@
         if (e.returning()) {
             return new Judgement(Verdict.WAIT, Cause.RETURNING);
         }
-        if (e.silent() && e.listed() == Listed.FAILED) {
+        if (e.silent() && e.stopped()) {
             return new Judgement(Verdict.GIVE_BACK, Cause.STOPPED);
         }
         if (e.row() == Row.NAMED) {
--- a/controller/src/main/java/org/landingridge/controller/reign/Reign.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Reign.java
@@ -65,7 +65,11 @@
     private boolean passDue;
     private boolean closed;
 
-    public Reign(Parts parts, Map<String, JsonNode> stored) {
+    /**
+     * @param stored the leader's documents
+     * @param seenAt when, by the loop's clock, each came to be known here in its present form
+     */
+    public Reign(Parts parts, Map<String, JsonNode> stored, Map<String, Long> seenAt) {
         this.parts = parts;
         this.loop = parts.loop();
         this.lead = parts.lead();
@@ -98,7 +102,7 @@
         }
         stored.forEach((key, value) -> {
             if (key.startsWith(root + Roster.PREFIX)) {
-                roster.takeOver(key, value);
+                roster.takeOver(key, value, seenAt.get(key), lead.previous());
             } else if (key.startsWith(root + Progress.PREFIX)) {
                 progress.takeOver(key, value, table);
             }
--- a/controller/src/main/java/org/landingridge/controller/store/Document.java
+++ b/controller/src/main/java/org/landingridge/controller/store/Document.java
@@ -12,6 +12,9 @@
     /** Called when what {@link #render} last gave is stored, at this revision. */
     void stored(long revision);
 
+    /** Called when what {@link #render} last gave is certainly not stored; it is rendered again. */
+    default void refused() {}
+
     /** Lower goes first. */
     default int rank() {
         return 5;
--- a/controller/src/main/java/org/landingridge/controller/store/GroupWriter.java
+++ b/controller/src/main/java/org/landingridge/controller/store/GroupWriter.java
@@ -24,6 +24,7 @@
     private enum State { IDLE, WAITING, WRITING, REREADING }
 
     private static final Logger LOG = LoggerFactory.getLogger(GroupWriter.class);
+    private static final long STARVED_MS = 3_000;
     private final StateClient client;
     private final Mirror mirror;
     private final Loop loop;
@@ -36,10 +37,7 @@
     private State state = State.IDLE;
     private long nextAllowed;
     private long epoch;
-    /** Changes of the present second, and of the one before. */
-    private long second;
-    private int now;
-    private int before;
+    private long refusedAt = Long.MIN_VALUE / 2;
 
     /**
      * @param writesPerS    puts and deletes a second that the leader may use
@@ -70,20 +68,9 @@
         return state == State.IDLE && dirty.isEmpty();
     }
 
-    /** Changes a second that the leader leaves unused: none while anything waits to be written. */
-    public double spare() {
-        count(0);
-        return idle() ? Math.max(0, 1000 / msPerWrite - Math.max(now, before)) : 0;
-    }
-
-    private void count(int writes) {
-        long at = loop.now() / 1_000;
-        if (at != second) {
-            before = at == second + 1 ? now : 0;
-            now = 0;
-            second = at;
-        }
-        now += writes;
+    /** True if the state service refused a group lately, and something still waits to be written. */
+    public boolean starved() {
+        return !idle() && loop.now() - refusedAt < STARVED_MS;
     }
 
     /** Forgets all documents; for a leader that steps down. */
@@ -136,7 +123,6 @@
         }
         to(State.WRITING);
         nextAllowed = loop.now() + Math.round(msPerWrite * writes.size());
-        count(writes.size());
         long began = epoch;
         client.commit(guards, writes, answer -> {
             if (began != epoch) {
@@ -157,6 +143,8 @@
                     again(0);
                 }
                 case REFUSED -> {
+                    refusedAt = loop.now();
+                    taken.forEach(Document::refused);
                     dirty.addAll(taken);
                     again(250);
                 }
--- a/controller/src/main/java/org/landingridge/controller/users/Door.java
+++ b/controller/src/main/java/org/landingridge/controller/users/Door.java
@@ -10,32 +10,40 @@
 
 /**
  * How many submissions this controller may write now. After an outage everything submitted meanwhile comes back at once:
- * sent on, it would take all changes that the state service has, and the leader could not write the roster without
- * which no machine takes a task. Who finds the door closed is told so at once, with the time to come back.
+ * sent on, it takes all changes that the state service has, nobody can claim the lead, and a leader cannot write the roster
+ * without which no machine takes a task. So each controller keeps to its share while no leader is heard, or the leader says,
+ * with its sign of life, that it comes short. Who finds the door closed is told so at once, with the time to come back.
  */
 final class Door {
     /** A submission, in the bucket's tokens: rates are fractions. */
     private static final long ONE = 1_000;
-    private static final long LENT_MS = 2_500;
+    private static final long SAID_MS = 2_500;
     private static final int LONGEST_S = 4;
     private final LongSupplier clock;
-    private final double own;
+    private final double most;
+    private final double share;
+    /** So many at once are let in after a quiet time: users do not come evenly, nor to every controller. */
+    private final double burst;
     private final Bucket bucket;
     private double rate;
-    private long lentUntil = Long.MIN_VALUE / 2;
-    /** Turned away since the last that was let in by a full second's rate. */
+    private long saidUntil = Long.MIN_VALUE / 2;
+    /** Turned away in the second that began then. */
     private int turnedAway;
     private long countedSince;
 
     /**
      * @param clock milliseconds of the steady clock
-     * @param own   submissions a second that this controller may always write
+     * @param most  changes a second that the state service can take at all
+     * @param share of these, what all controllers together may always use for submissions
+     * @param nodes controllers in all
      */
-    Door(LongSupplier clock, double own) {
+    Door(LongSupplier clock, double most, double share, int nodes) {
         this.clock = clock;
-        this.own = own;
-        this.rate = own;
-        bucket = Bucket.builder().addLimit(limit(own)).withCustomTimePrecision(new TimeMeter() {
+        this.most = most;
+        this.share = most * share / nodes;
+        this.burst = most * share;
+        this.rate = this.share;
+        bucket = Bucket.builder().addLimit(limit(rate)).withCustomTimePrecision(new TimeMeter() {
             @Override
             public long currentTimeNanos() {
                 return clock.getAsLong() * 1_000_000;
@@ -48,15 +56,15 @@
         }).build();
     }
 
-    private static Bandwidth limit(double perS) {
+    private Bandwidth limit(double perS) {
         long tokens = Math.max(ONE / 10, Math.round(perS * ONE));
-        return Bandwidth.builder().capacity(Math.max(ONE, tokens)).refillGreedy(tokens, Duration.ofSeconds(1)).build();
+        return Bandwidth.builder().capacity(Math.max(ONE, Math.round(burst * ONE))).refillGreedy(tokens, Duration.ofSeconds(1)).build();
     }
 
-    /** The leader leaves so many changes a second of its share to this controller, until it says otherwise. */
-    void lent(double perS) {
-        lentUntil = clock.getAsLong() + LENT_MS;
-        to(own + Math.max(0, perS));
+    /** The leader's sign of life: whether it comes short of changes. It counts until the next, or for a while. */
+    void heard(boolean leaderShort) {
+        saidUntil = clock.getAsLong() + SAID_MS;
+        to(leaderShort ? share : most);
     }
 
     private void to(double perS) {
@@ -69,8 +77,8 @@
 
     /** True if a submission may be written now. */
     boolean admit() {
-        if (clock.getAsLong() > lentUntil) {
-            to(own);
+        if (clock.getAsLong() > saidUntil) {
+            to(share);
         }
         boolean in = bucket.tryConsume(ONE);
         if (clock.getAsLong() - countedSince >= 1_000) {
--- a/controller/src/main/java/org/landingridge/controller/users/JobService.java
+++ b/controller/src/main/java/org/landingridge/controller/users/JobService.java
@@ -31,7 +31,7 @@
 public final class JobService {
     private static final Logger LOG = LoggerFactory.getLogger(JobService.class);
     private static final int TRIES = 4;
-    /** Of the state service's changes, for all controllers together; the leader lends them more from its own. */
+    /** Of the state service's changes: the leader's writes take the other half. */
     private static final double SHARE = 0.5;
     private final StateClient client;
     private final Mirror mirror;
@@ -53,12 +53,12 @@
         this.types = types;
         this.history = history;
         this.metrics = metrics;
-        this.door = new Door(loop::now, settings.stateLimits().writeRps() * SHARE / (settings.peers().size() + 1));
+        this.door = new Door(loop::now, settings.stateLimits().writeRps(), SHARE, settings.peers().size() + 1);
     }
 
-    /** The leader leaves so many changes a second to each controller. */
-    public void lent(double perS) {
-        door.lent(perS);
+    /** A sign of life of the leader, which may come short of changes. */
+    public void leaderHeard(boolean comesShort) {
+        door.heard(comesShort);
     }
 
     public void submit(Exchange exchange) {
