Recoveries told as events and by verdict in status; losses of all controllers as tests

Need: nobody could see what a new leader waited for, and histories with a loss of all controllers were few. Change: obs.Chronicle tells of elections, how many machines are known, cuts, machines settled and lapsed: key-value pairs of the log, or JSON lines (LOG_EVENTS=json); experiments draw their timeline from them (--events FILE writes them). status gains recovery: machines by verdict and cause, the first of each, until when they are waited for. Where no leader has ever led a fresh process claims at once, also after submissions: it waited 2.5 s for a promise that nobody can have given. Result: AllDownTest, 32 histories: machines lost while all are down, a second crash at 21 moments of the recovery, a state service that comes back later, a first start.

--- a/controller/src/main/java/org/landingridge/controller/Controller.java
+++ b/controller/src/main/java/org/landingridge/controller/Controller.java
@@ -20,6 +20,7 @@
 import org.landingridge.controller.jobs.JobTable;
 import org.landingridge.controller.lead.Leadership;
 import org.landingridge.controller.obs.Busy.Part;
+import org.landingridge.controller.obs.Chronicle;
 import org.landingridge.controller.obs.IncidentReport;
 import org.landingridge.controller.obs.Metrics;
 import org.landingridge.controller.ops.CloudClient;
@@ -63,6 +64,7 @@
     private final Roll roll;
     private final Metrics metrics;
     private final IncidentReport incidents;
+    private final Chronicle chronicle;
     private final JobService jobs;
     private final Leadership lead;
     private final CloudClient cloud;
@@ -87,6 +89,7 @@
         this.loop = loop;
         this.settings = settings;
         this.incidents = new IncidentReport(loop);
+        this.chronicle = new Chronicle(loop);
         this.metrics = new Metrics(loop::nanos);
         StateClient client = new StateClient(http, settings.state());
         int nodes = settings.peers().size() + 1;
@@ -109,7 +112,12 @@
         cloud = new CloudClient(http, loop, settings.cloud(), settings.cloudLimits().rps());
         jobs = new JobService(client, mirror, loop, table, history, settings, types, metrics);
         parts = new Parts(loop, http, random, settings, policy, client, mirror, lead, writer, cloud, table, history, roll,
-                types, metrics, incidents);
+                types, metrics, incidents, chronicle);
+    }
+
+    /** What tells of this controller's recoveries. */
+    public Chronicle chronicle() {
+        return chronicle;
     }
 
     /** Starts everything; {@code open} lets users and workers in, once there is something to tell them. */
--- a/controller/src/main/java/org/landingridge/controller/fleet/Appraisal.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Appraisal.java
@@ -4,6 +4,8 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import org.landingridge.controller.recovery.Judgement;
 import org.landingridge.controller.recovery.MachineEvidence;
 import org.landingridge.controller.recovery.MachineEvidence.Row;
@@ -44,6 +46,7 @@
     private final Deque<Return> returns = new ArrayDeque<>();
     private long began;
     private boolean waitingFor;
+    private Set<String> cutOff = Set.of();
 
     Appraisal(Ground ground, Census census, BootTimes boots, long bootMarginMs, double settleShare) {
         this.ground = ground;
@@ -57,6 +60,20 @@
         began = now;
     }
 
+    /** Tells of zones in which so many machines are silent that they are left to their leases. */
+    private void tellCuts() {
+        Set<String> now = new TreeSet<>();
+        zones.forEach((name, z) -> {
+            if (z.silent > 1 && crowd(name)) {
+                now.add(name);
+                if (!cutOff.contains(name)) {
+                    ground.chronicle().tell("cut_off", "zone", name, "silent", z.silent, "of", z.all);
+                }
+            }
+        });
+        cutOff = now;
+    }
+
     /**
      * Looks at the whole fleet: what is silent together.
      *
@@ -76,6 +93,7 @@
                 z.silent += silent(m, now) ? 1 : 0;
             }
         }
+        tellCuts();
     }
 
     private Zone zone(String name) {
--- a/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
@@ -11,6 +11,7 @@
 import org.landingridge.controller.config.Settings;
 import org.landingridge.controller.jobs.Job;
 import org.landingridge.controller.lead.Leadership;
+import org.landingridge.controller.obs.Chronicle;
 import org.landingridge.controller.obs.IncidentReport;
 import org.landingridge.controller.obs.Metrics;
 import org.landingridge.controller.recovery.Judgement;
@@ -64,6 +65,7 @@
     private final Function<String, MachineType> types;
     private final Metrics metrics;
     private final IncidentReport incidents;
+    private final Chronicle chronicle;
     private final Events events;
     private final long leaseMs;
     private final Map<String, Machine> machines = new LinkedHashMap<>();
@@ -82,17 +84,18 @@
     /** @param endedSpecs what the tasks of ended jobs take, null where that is not known any more */
     public Fleet(Loop loop, Http http, Leadership lead, Settings.Workers workers, Function<String, MachineType> types,
             Function<String, JobSpec> endedSpecs, Policy policy, int maxConnections, Metrics metrics,
-            IncidentReport incidents, Events events) {
+            IncidentReport incidents, Chronicle chronicle, Events events) {
         this.loop = loop;
         this.lead = lead;
         this.reignToken = lead.token();
         this.types = types;
         this.metrics = metrics;
         this.incidents = incidents;
+        this.chronicle = chronicle;
         this.events = events;
         // Clocks differ by 0.05 % and our 200 was written after the report was sent: both err on the safe side.
         this.leaseMs = (long) (workers.leaseS() * 1000 * 1.002) + 250;
-        Ground ground = new Ground(loop, http, lead, reignToken, metrics, incidents, events, leaseMs,
+        Ground ground = new Ground(loop, http, lead, reignToken, metrics, incidents, chronicle, events, leaseMs,
                 Math.round(workers.reportS() * 1000));
         census = new Census(ground);
         attempts = new Attempts(ground, jobs, endedSpecs);
@@ -224,6 +227,7 @@
         if (why.cause() == Judgement.Cause.SETTLED_BY_RETURN) {
             appraisal.returned(m, loop.now());
             metrics.settled.increment();
+            chronicle.tell("settled", "machine", m.id, "zone", m.zone, "silentMs", silentMs(m), "held", m.live());
         }
         leaving(m);
     }
@@ -462,7 +466,7 @@
         }
         long now = loop.now();
         boolean stuck = false;
-        appraisal.look(machines.values(), census.left() > 0 && held(), now);
+        appraisal.look(machines.values(), census.left() > 0 && anyHeld(), now);
         for (Machine m : new ArrayList<>(machines.values())) {
             switch (appraisal.judge(m, now).verdict()) {
                 case PLACE -> lapse(m);
@@ -490,7 +494,7 @@
     }
 
     /** True if tasks of earlier leaders' jobs wait. */
-    private boolean held() {
+    private boolean anyHeld() {
         for (LiveJob job : jobs.values()) {
             if (!job.own && job.count(Task.State.PENDING) > 0) {
                 return true;
@@ -499,12 +503,27 @@
         return false;
     }
 
+    /** Tasks that wait until the machines that may hold them are accounted for. */
+    public int held() {
+        int sum = 0;
+        for (LiveJob job : jobs.values()) {
+            sum += census.left() == 0 ? 0 : job.count(Task.State.PENDING) - placeable(job);
+        }
+        return sum;
+    }
+
+    /** When, by the loop's clock, the machine's lease is certainly over. */
+    public long leaseEnds(Machine m) {
+        return appraisal.leaseEnds(m);
+    }
+
     private void lapse(Machine m) {
         // One that this leader never heard is no machine on its way either: counted as such, nothing was rented in its place.
         if (m.state() == Machine.State.UP || m.inCensus && m.state() == Machine.State.BOOTING) {
             LOG.info("{} is silent: its lease has run out", m.id);
             metrics.lapses.increment();
-            int held = (int) m.attempts.values().stream().filter(Attempt::live).count();
+            int held = m.live();
+            chronicle.tell("lapsed", "machine", m.id, "zone", m.zone, "held", held);
             incidents.say(m.id + " fell silent and its lease ran out"
                     + (held > 0 ? "; " + held + " tasks are started elsewhere" : ""));
             m.to(Machine.State.LAPSED);
--- a/controller/src/main/java/org/landingridge/controller/fleet/Machine.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Machine.java
@@ -130,6 +130,15 @@
         return addr != null && state != State.BOOTING && state != State.LAPSED;
     }
 
+    /** Attempts that take room on it. */
+    int live() {
+        int n = 0;
+        for (Attempt a : attempts.values()) {
+            n += a.live() ? 1 : 0;
+        }
+        return n;
+    }
+
     boolean hasLive() {
         for (Attempt a : attempts.values()) {
             if (a.live()) {
--- a/controller/src/main/java/org/landingridge/controller/lead/Leadership.java
+++ b/controller/src/main/java/org/landingridge/controller/lead/Leadership.java
@@ -198,7 +198,7 @@
         }
         // An earlier process of this host may have promised a leader not to lead. No such promise binds where the last
         // leader was an earlier process of this very host, which is dead, or where no one has led yet.
-        boolean free = mine || given || host.equals(lastHost) || mirror.revision() == 0;
+        boolean free = mine || given || host.equals(lastHost) || mirror.version(lastKey) == 0;
         if (!free && loop.now() - started < Promises.LIFE_MS * 1.01) {
             return;
         }
--- a/controller/src/main/java/org/landingridge/controller/reign/Parts.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Parts.java
@@ -8,6 +8,7 @@
 import org.landingridge.controller.history.Roll;
 import org.landingridge.controller.jobs.JobTable;
 import org.landingridge.controller.lead.Leadership;
+import org.landingridge.controller.obs.Chronicle;
 import org.landingridge.controller.obs.IncidentReport;
 import org.landingridge.controller.obs.Metrics;
 import org.landingridge.controller.ops.CloudClient;
@@ -21,4 +22,4 @@
 /** What a reign works with: the parts that every controller runs. */
 public record Parts(Loop loop, Http http, RandomGenerator random, Settings settings, Policy policy, StateClient client,
         Mirror mirror, Leadership lead, GroupWriter writer, CloudClient cloud, JobTable table, History history, Roll roll,
-        Map<String, MachineType> types, Metrics metrics, IncidentReport incidents) {}
+        Map<String, MachineType> types, Metrics metrics, IncidentReport incidents, Chronicle chronicle) {}
--- /dev/null
+++ b/controller/src/main/java/org/landingridge/controller/reign/Recovery.java
@@ -0,0 +1,85 @@
+package org.landingridge.controller.reign;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import org.landingridge.controller.fleet.Fleet;
+import org.landingridge.controller.fleet.Machine;
+import org.landingridge.controller.obs.Chronicle;
+import org.landingridge.controller.recovery.Judgement;
+import org.landingridge.controller.recovery.Judgement.Cause;
+import org.landingridge.controller.recovery.Picture;
+import org.landingridge.controller.recovery.Verdict;
+
+/** How far a new leader has come in squaring the reports with the stored state, for people: events and status. */
+final class Recovery {
+    /** GATHERING: what is there is not known yet. SETTLING: machines are left to be accounted for. OVER: none is. */
+    private enum State { GATHERING, SETTLING, OVER }
+
+    private static final int[] SHARES = {50, 95, 100};
+    private static final int NAMED = 5;
+    private final Fleet fleet;
+    private final Picture picture;
+    private final Chronicle chronicle;
+    private final long beganAt;
+    private final int asked;
+    private State state = State.GATHERING;
+    private int share;
+
+    Recovery(Fleet fleet, Picture picture, Chronicle chronicle, long beganAt) {
+        this.fleet = fleet;
+        this.picture = picture;
+        this.chronicle = chronicle;
+        this.beganAt = beganAt;
+        this.asked = fleet.unaccounted();
+    }
+
+    /** Looks how far it has come, and tells of what is new. */
+    void look(long now) {
+        int left = fleet.unaccounted();
+        while (share < SHARES.length && (asked - left) * 100L >= (long) SHARES[share] * asked) {
+            if (asked > 0) {
+                chronicle.tell("known", "percent", SHARES[share], "afterMs", now - beganAt, "left", left);
+            }
+            share++;
+        }
+        if (state == State.GATHERING && picture.state(now) == Picture.State.COMPLETE) {
+            to(State.SETTLING, now);
+        }
+        if (state == State.SETTLING && left == 0) {
+            to(State.OVER, now);
+        }
+    }
+
+    /** The only place where the state changes. */
+    private void to(State next, long now) {
+        state = next;
+        chronicle.tell(next == State.OVER ? "recovered" : "picture_complete", "afterMs", now - beganAt, "machines",
+                fleet.size(), "held", fleet.held());
+    }
+
+    /** Machines by verdict and cause: how many, the first of them, and at most until when they are waited for. */
+    void describe(ObjectNode n, long now) {
+        n.put("state", state.name()).put("sinceMs", now - beganAt).put("asked", asked).put("left", fleet.unaccounted())
+                .put("heldTasks", fleet.held());
+        Map<Verdict, Map<Cause, ObjectNode>> byVerdict = new EnumMap<>(Verdict.class);
+        for (Machine m : fleet.machines()) {
+            Judgement j = fleet.judge(m, now);
+            ObjectNode of = byVerdict.computeIfAbsent(j.verdict(), v -> new EnumMap<>(Cause.class))
+                    .computeIfAbsent(j.cause(), c -> n.withObject("/machines/" + name(j.verdict()) + "/" + name(c))
+                            .put("why", c.text()).put("count", 0));
+            of.put("count", of.path("count").asInt() + 1);
+            if (of.path("count").asInt() <= NAMED && !j.is(Verdict.ADOPT)) {
+                of.withArray("first").add(m.id());
+            }
+            if (j.is(Verdict.WAIT) && j.cause() != Cause.BOOTING) {
+                of.put("untilMs", Math.max(of.path("untilMs").asLong(), fleet.leaseEnds(m) - now));
+            }
+        }
+    }
+
+    private static String name(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/controller/src/main/java/org/landingridge/controller/reign/Reign.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Reign.java
@@ -62,6 +62,7 @@
     private final Pass pass;
     private final Inventory inventory;
     private final Picture picture;
+    private final Recovery recovery;
     private boolean passDue;
     private boolean closed;
 
@@ -83,7 +84,8 @@
                 id -> {
                     Job job = table.get(id);
                     return job == null ? null : job.spec();
-                }, policy, settings.machine().maxConnections(), parts.metrics(), parts.incidents(), this);
+                }, policy, settings.machine().maxConnections(), parts.metrics(), parts.incidents(),
+                parts.chronicle(), this);
         parts.metrics().takeovers.increment();
         parts.incidents().say("this controller took the lead under token " + lead.token());
         roster = new Roster(root, writer, fleet, settings.stateLimits().valueKb());
@@ -125,10 +127,13 @@
                 parts.metrics(), this, lead::writeGuard, settings.stateLimits().txnOps(),
                 settings.stateLimits().writeRps(), historyShare());
         picture = new Picture(loop.now(), Math.round(settings.workers().reportS() * 1250) + GATHER_MS);
+        recovery = new Recovery(fleet, picture, parts.chronicle(), loop.now());
         pass = new Pass(parts, fleet, operations, expectations, picture);
         inventory = new Inventory(parts, fleet, operations, this::givenBack, picture::listed);
         LOG.info("leading under token {}: {} jobs, {} machines on the roster", lead.token(), table.active().size(),
                 fleet.size());
+        parts.chronicle().tell("elected", "token", lead.token(), "jobs", table.active().size(), "machines", fleet.size(),
+                "asked", fleet.unaccounted());
         fleet.start();
         compactor.start();
         tick();
@@ -192,6 +197,7 @@
                 passDue = false;
                 if (!closed) {
                     parts.metrics().busy.during(Part.PASS, pass::run);
+                    recovery.look(loop.now());
                 }
             });
         }
@@ -327,6 +333,7 @@
         ObjectNode machines = n.putObject("machines");
         states.forEach(machines::put);
         n.put("unaccounted", fleet.unaccounted());
+        recovery.describe(n.putObject("recovery"), loop.now());
         var unsettled = n.putArray("unsettledOperations");
         for (Operation op : operations.all()) {
             if (op.open()) {
--- a/controller/src/test/java/org/landingridge/controller/sched/SchedulerTest.java
+++ b/controller/src/test/java/org/landingridge/controller/sched/SchedulerTest.java
@@ -326,4 +326,27 @@
         long many = steps(500, 100_000);
         assertTrue(many <= 1.2 * few, many + " steps for a thousand times as many, " + few + " before");
     }
+
+    /** One free node, or two, a service's task that a census holds up, and an array that would take all of the room. */
+    private static Plan besideHeld(boolean unheard, Priority arrays) {
+        List<Node> nodes = new ArrayList<>(List.of(new Node(T4, "a", false, "up", true, Set.of())));
+        if (unheard) {
+            Node n = new Node(T4, "b", false, "unheard", false, Set.of());
+            n.unheard = true;
+            nodes.add(n);
+        }
+        Group service = new Group(spec(1, true, Priority.HIGH, 1, 3, false, false, false), "s", 0, 0, 0);
+        service.held = 1;
+        Group array = new Group(spec(2, false, arrays, 4, 1, false, false, false), "a", 1, 0, 4);
+        return Scheduler.plan(new Scheduler.Input(2_000, nodes, List.of(service, array), List.of(new Team(100, 0, 0, 0)),
+                List.of(T4), new HashMap<>(), null, 1_000, 0));
+    }
+
+    /** Guards the room of services after a loss of all controllers: 562 tasks were started and stopped within 4 s. */
+    @Test
+    void whatACensusHoldsUpKeepsRoomFromLowerPriorities() {
+        assertEquals(1, besideHeld(false, Priority.NORMAL).placements.size(), "three processors are kept");
+        assertEquals(4, besideHeld(true, Priority.NORMAL).placements.size(), "it is most likely on the unheard machine");
+        assertEquals(4, besideHeld(false, Priority.HIGH).placements.size(), "equals are not stopped for it either");
+    }
 }
--- /dev/null
+++ b/controller/src/test/java/org/landingridge/controller/users/DoorTest.java
@@ -0,0 +1,54 @@
+package org.landingridge.controller.users;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+/** Seven controllers, 15 changes a second, half of them for submissions. */
+class DoorTest {
+    private long now = 1_000;
+    private final Door door = new Door(() -> now, 15, 0.5, 7);
+
+    /** How many of a flood are let in, with the leader's sign of life every second, or none. */
+    private int flood(int seconds, Boolean leaderShort) {
+        int in = 0;
+        for (int ms = 0; ms < seconds * 1_000; ms += 10) {
+            if (ms % 1_000 == 0 && leaderShort != null) {
+                door.heard(leaderShort);
+            }
+            in += door.admit() ? 1 : 0;
+            now += 10;
+        }
+        return in;
+    }
+
+    @Test
+    @DisplayName("no leader, or one that comes short: a controller's share, after a first burst; else all there is")
+    void shares() {
+        int first = flood(10, null);
+        assertTrue(first >= 17 && first <= 18, "7.5 at once and 1.07 a second: " + first);
+        int shortOf = flood(20, true);
+        assertTrue(shortOf >= 21 && shortOf <= 22, "1.07 a second: " + shortOf);
+        int open = flood(10, false);
+        assertTrue(open >= 148 && open <= 151, "15 a second: " + open);
+    }
+
+    @Test
+    @DisplayName("a leader that is heard no more is taken to come short")
+    void unheard() {
+        flood(10, false);
+        flood(3, null);
+        int after = flood(10, null);
+        assertTrue(after >= 10 && after <= 11, "1.07 a second: " + after);
+    }
+
+    @Test
+    @DisplayName("the more are turned away, the later they may come back, and never later than 4 s")
+    void comeBack() {
+        assertEquals(1, door.comeBackS());
+        flood(1, true);
+        assertEquals(4, door.comeBackS());
+    }
+}
--- a/experiment/src/main/java/org/landingridge/experiment/ExperimentCommand.java
+++ b/experiment/src/main/java/org/landingridge/experiment/ExperimentCommand.java
@@ -1,10 +1,14 @@
 package org.landingridge.experiment;
 
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
 import org.landingridge.controller.config.BadSettings;
+import org.landingridge.controller.obs.Chronicle;
+import org.landingridge.wire.Json;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -20,6 +24,10 @@
     @Option(names = "--report", paramLabel = "FILE", description = "where the report goes (HTML)")
     private Path report;
 
+    @Option(names = "--events", paramLabel = "FILE",
+            description = "where the controllers' events go, one JSON object a line")
+    private Path events;
+
     @Override
     public Integer call() throws Exception {
         Experiment plan;
@@ -48,6 +56,13 @@
                     o.admissions().lateInSpite(), o.admissions().closedS());
             System.out.println("  leaders' threads, ms: " + o.busyMs());
         }
+        if (events != null) {
+            List<String> lines = new ArrayList<>();
+            outcomes.forEach(o -> o.events().forEach(t -> lines.add(Json.text(Json.object().put("seed", o.seed())
+                    .put("worldMs", t.atMs()).put("host", t.host())
+                    .set("event", Json.parse(Chronicle.json(t.event()).getBytes(StandardCharsets.UTF_8)))))));
+            Files.write(events, lines, StandardCharsets.UTF_8);
+        }
         if (report != null) {
             Report.write(report, plan, outcomes);
             System.out.println("report: " + report);
--- a/experiment/src/main/java/org/landingridge/experiment/Play.java
+++ b/experiment/src/main/java/org/landingridge/experiment/Play.java
@@ -25,7 +25,7 @@
      */
     record Outcome(long seed, List<String> broken, int submitted, int done, int cancelled, int repeats, int refused,
             List<Sample> samples, List<Recovery.Result> recoveries, Map<Truth.Order, OrderBook.Count> orders,
-            Admissions.Result admissions, Map<String, Long> busyMs,
+            List<World.Told> events, Admissions.Result admissions, Map<String, Long> busyMs,
             int requests, int mostWrites, long leaderKb, double tookS) {}
 
     private static final int FIRST = 100_000;
@@ -85,7 +85,7 @@
         long leaderKb = leaderKb();
         return new Outcome(seed, List.copyOf(world.rules.broken), submitted, (int) world.over("done"),
                 (int) world.over("cancelled"), world.rules.repeats, world.state.tooMany, samples, recoveries.stream().map(Recovery::result).toList(), orders.counts(),
-                world.admissions.result(), busy,
+                List.copyOf(world.events), world.admissions.result(), busy,
                 world.state.requests(), world.state.mostWrites, leaderKb, (System.nanoTime() - began) / 1e9);
     }
 
--- a/experiment/src/main/java/org/landingridge/experiment/Report.java
+++ b/experiment/src/main/java/org/landingridge/experiment/Report.java
@@ -15,6 +15,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
 import org.knowm.xchart.BitmapEncoder;
 import org.knowm.xchart.XYChart;
 import org.knowm.xchart.XYChartBuilder;
@@ -33,6 +34,7 @@
         context.put("plan", plan);
         context.put("outcomes", outcomes.stream().map(Report::row).toList());
         context.put("recoveries", outcomes.stream().flatMap(o -> o.recoveries().stream().map(r -> row(o.seed(), r))).toList());
+        context.put("events", outcomes.stream().flatMap(o -> timeline(o).stream()).toList());
         context.put("orders", outcomes.stream().flatMap(o -> o.orders().values().stream().map(c -> Map.of("seed", o.seed(),
                 "order", c.order().name().toLowerCase(Locale.ROOT).replace('_', ' '), "sum", c.sum(), "busiest", c.busiest(), "at", c.busiestAtS(),
                 "needless", c.needless()))).toList());
@@ -53,6 +55,34 @@
         Files.writeString(file, page.toString(), StandardCharsets.UTF_8);
     }
 
+    /** What the controllers told of their recoveries; of events that come by the hundred the first of each second. */
+    private static List<Map<String, Object>> timeline(Play.Outcome o) {
+        List<Map<String, Object>> lines = new ArrayList<>();
+        Map<String, Map<String, Object>> bySecond = new LinkedHashMap<>();
+        for (World.Told t : o.events()) {
+            boolean many = t.event().fields().containsKey("machine");
+            String key = many ? t.event().name() + t.host() + t.atMs() / 1_000 : null;
+            Map<String, Object> before = key == null ? null : bySecond.get(key);
+            if (before != null) {
+                before.merge("times", 1, (a, b) -> (int) a + (int) b);
+                continue;
+            }
+            Map<String, Object> line = new LinkedHashMap<>();
+            line.put("seed", o.seed());
+            line.put("at", decimal(t.atMs() / 1_000.0));
+            line.put("host", t.host());
+            line.put("event", t.event().name());
+            line.put("times", 1);
+            line.put("fields", t.event().fields().entrySet().stream().map(e -> e.getKey() + " " + e.getValue())
+                    .collect(Collectors.joining(", ")));
+            lines.add(line);
+            if (key != null) {
+                bySecond.put(key, line);
+            }
+        }
+        return lines;
+    }
+
     private static Map<String, Object> row(long seed, Recovery.Result r) {
         Map<String, Object> row = new LinkedHashMap<>();
         row.put("seed", seed);
--- a/experiment/src/main/java/org/landingridge/experiment/World.java
+++ b/experiment/src/main/java/org/landingridge/experiment/World.java
@@ -14,6 +14,7 @@
 import org.landingridge.controller.config.Policy;
 import org.landingridge.controller.config.Settings;
 import org.landingridge.controller.history.Place;
+import org.landingridge.controller.obs.Chronicle;
 import org.landingridge.controller.history.Segment;
 import org.landingridge.controller.jobs.Ended;
 import org.landingridge.controller.jobs.Job;
@@ -68,6 +69,11 @@
     final List<Node> nodes = new ArrayList<>();
     private final Sim.Host users;
 
+    /** An event that a controller told of, at this time of the world. */
+    record Told(long atMs, String host, Chronicle.Event event) {}
+
+    final List<Told> events = new ArrayList<>();
+
     /** One controller's host; a restart makes a new controller with no memory. */
     final class Node {
         final int index;
@@ -110,6 +116,7 @@
                     }
                 });
             }, new SplittableRandom(sim.random.nextLong()), settings, Policy.DEFAULT);
+            controller.chronicle().listener(event -> events.add(new Told(sim.now, host.name, event)));
             host.after(200, () -> controller.start(() -> { }));
         }
 
--- /dev/null
+++ b/experiment/src/test/java/org/landingridge/experiment/AllDownTest.java
@@ -0,0 +1,160 @@
+package org.landingridge.experiment;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.landingridge.controller.config.Settings;
+import org.landingridge.emulator.Truth.Order;
+import org.landingridge.emulator.Worker;
+
+/** All controllers go down, machines are lost meanwhile, and all come up at once. */
+class AllDownTest {
+    private static final long LEASE_MS = 20_000;
+    private static final long DOWN_AT = 30_000;
+    private static final int SERVICES = 14;
+    private World w;
+    private OrderBook orders;
+
+    private void world(long seed) {
+        w = new World(new World.Setup(seed, 3, 60, 3_000, 2_000, LEASE_MS, Map.of("blue",
+                new Settings.Team("blue", 400, 0, 0, 0)), new Settings.State(200, 20, 4, 8)));
+        orders = new OrderBook(() -> w.sim.now, id -> w.workers.stream().anyMatch(x -> x.box().id.equals(id)
+                && !x.hangs()), w.rules.cancelAsked::contains);
+        for (int i = 0; i < SERVICES; i++) {
+            int n = i;
+            w.at(100 + i * 50L, () -> w.submit(World.job(n, "blue", true, 1, 3, 0)));
+        }
+        for (int i = 100; i < 106; i++) {
+            int n = i;
+            w.at(2_000 + (i - 100) * 4_000L, () -> w.submit(World.job(n, "blue", false, 12, 1, 6)));
+        }
+        w.sim.run(DOWN_AT);
+        assertEquals(SERVICES, services());
+    }
+
+    private long services() {
+        return w.rules.places.keySet().stream().filter(t -> w.rules.specs.get(t.substring(0, t.indexOf('/'))).service())
+                .count();
+    }
+
+    /** Two machines die, each in another zone, one of them with a service. */
+    private void lose() {
+        for (String zone : List.of("a", "b")) {
+            w.workers.stream().filter(x -> x.box().zone.equals(zone) && x.running() != null).findFirst()
+                    .map(Worker::box).ifPresent(b -> w.cloud.delete(b.id));
+        }
+    }
+
+    private void down(long forMs) {
+        w.nodes.stream().filter(n -> n.host.up).forEach(n -> n.crash(forMs));
+    }
+
+    /** Everything runs or is over, and no rule was broken on the way. */
+    private void settled() {
+        assertEquals(List.of(), w.rules.broken);
+        assertEquals(0, w.state.tooLarge);
+        assertEquals(SERVICES, services());
+        assertEquals(6, w.over("done"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1,6000", "2,6000", "3,6000", "1,25000", "2,25000", "3,25000"})
+    @DisplayName("what was lost while nobody led runs again within 8 s of the election, lease or not")
+    void lostMeanwhile(long seed, long forMs) {
+        world(seed);
+        down(forMs);
+        w.at(DOWN_AT + 1_000, this::lose);
+        w.sim.run(DOWN_AT + forMs + 500 + 8_000);
+        assertEquals(SERVICES, services());
+        w.sim.run(120_000);
+        settled();
+    }
+
+    static LongStream moments() {
+        return LongStream.rangeClosed(0, 20).map(i -> i * 350);
+    }
+
+    /** The second crash hits the claim, the reading, the census, the questions, the give-backs and the placing. */
+    @ParameterizedTest
+    @MethodSource("moments")
+    @DisplayName("a second crash of all, at any moment of the recovery, makes nothing worse")
+    void twice(long afterMs) {
+        world(11 + afterMs);
+        down(4_000);
+        w.at(DOWN_AT + 1_000, this::lose);
+        w.at(DOWN_AT + 4_200 + afterMs, () -> down(3_000));
+        w.sim.run(DOWN_AT + 4_200 + afterMs + 3_500 + 10_000);
+        assertEquals(SERVICES, services());
+        w.sim.run(150_000);
+        settled();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {21, 22, 23})
+    @DisplayName("a state service that comes back after the controllers, and refuses one of them at first")
+    void stateComesBackLater(long seed) {
+        world(seed);
+        w.state.outage(true);
+        down(3_000);
+        w.at(DOWN_AT + 1_000, this::lose);
+        w.at(DOWN_AT + 9_000, () -> {
+            w.state.refused.add("rig-" + seed % 3);
+            w.state.outage(false);
+        });
+        w.at(DOWN_AT + 20_000, w.state.refused::clear);
+        w.sim.run(150_000);
+        settled();
+    }
+
+    @Test
+    @DisplayName("a first start rents nothing for work that machines up but in no list can take")
+    void firstStart() {
+        w = new World(new World.Setup(31, 3, 60, 3_000, 5_000, LEASE_MS, Map.of("blue",
+                new Settings.Team("blue", 400, 0, 0, 0)), new Settings.State(200, 20, 4, 8)));
+        w.cloud.bootMs = 0;
+        for (int i = 0; i < 40; i++) {
+            w.cloud.rent(i % 2 == 0 ? "a" : "b", false);
+        }
+        w.cloud.bootMs = 3_000;
+        orders = new OrderBook(() -> w.sim.now, id -> true, id -> false);
+        w.rules.orders = orders;
+        for (int i = 0; i < 24; i++) {
+            int n = i;
+            w.at(400, () -> w.submit(World.job(n, "blue", true, 1, 3, 0)));
+        }
+        // The first reports come a little after the election, when the jobs are there already.
+        w.at(50, () -> w.workers.forEach(x -> w.nodes.forEach(n -> w.sim.cut(n.host.name, x.box().id))));
+        w.at(1_200, w.sim::heal);
+        w.sim.run(12_000);
+        assertEquals(24, w.rules.places.size());
+        assertEquals(0, orders.counts().get(Order.RENT).sum(), "rents");
+        assertEquals(0, orders.counts().get(Order.GIVE_BACK).sum(), "give-backs");
+        assertTrue(orders.counts().get(Order.START).busiest() >= 10, "the orders are counted");
+    }
+
+    @Test
+    @DisplayName("after a recovery no order is repeated, and nothing that was started is stopped again")
+    void ordersAfterARecovery() {
+        world(41);
+        w.rules.orders = orders;
+        down(25_000);
+        w.at(DOWN_AT + 1_000, this::lose);
+        w.sim.run(DOWN_AT + 40_000);
+        OrderBook.Count starts = orders.counts().get(Order.START);
+        assertTrue(starts.sum() >= SERVICES, "everything had died with its lease");
+        assertEquals(0, starts.needless(), "starts");
+        assertEquals(0, orders.counts().get(Order.STOP).needless(), "stops");
+        assertEquals(0, orders.counts().get(Order.RENT).needless(), "rents");
+        w.sim.run(120_000);
+        settled();
+    }
+}
