Roster pages that cannot be read are quarantined; commands straight to machines are bounded

Need: a roster page that was no object was taken for empty, and a row of an unknown type ended the process at each election. After a loss of all controllers hundreds of calls went out at once. Change: such a page is named in one line; until a lease is over its machines may hold anything, then the page goes. Finished tasks that cannot be read are asked for again. Calls with commands take an eighth of the connections at a time; what is decided first goes first, the rest follows as they end.

--- a/controller/src/main/java/org/landingridge/controller/fleet/Census.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Census.java
@@ -19,6 +19,8 @@
     private long lastAt;
     /** Of those left, by what a job may ask for: type, zone and whether it is a spot machine. */
     private final Map<Kind, Integer> kinds = new HashMap<>();
+    /** Until when machines of which the roster cannot be read may hold anything; negative while there are none. */
+    private long unreadableUntil = -1;
 
     private record Kind(String type, String zone, boolean spot) {
         Kind(Machine m) {
@@ -43,6 +45,29 @@
         kinds.merge(new Kind(m), 1, Integer::sum);
     }
 
+    /** A page of the roster cannot be read: its machines may hold anything until then, when their leases are over. */
+    void unreadable(long until) {
+        if (unreadableUntil < 0) {
+            left++;
+            asked++;
+        }
+        unreadableUntil = Math.max(unreadableUntil, until);
+    }
+
+    boolean unreadable() {
+        return unreadableUntil >= 0;
+    }
+
+    /** True once, when the leases of unreadable machines are over. */
+    boolean unreadableOver(long now) {
+        if (!unreadable() || now <= unreadableUntil) {
+            return false;
+        }
+        unreadableUntil = -1;
+        less();
+        return true;
+    }
+
     long lastAt() {
         return lastAt;
     }
@@ -57,6 +82,9 @@
      * job does not allow it.
      */
     boolean mayHold(JobSpec spec) {
+        if (unreadable()) {
+            return true;
+        }
         for (Kind kind : kinds.keySet()) {
             if (kind.allowedBy(spec)) {
                 return true;
@@ -73,13 +101,17 @@
     void accounted(Machine m) {
         if (m.inCensus) {
             m.inCensus = false;
-            left--;
-            lastAt = ground.loop().now();
             kinds.computeIfPresent(new Kind(m), (k, n) -> n == 1 ? null : n - 1);
-            if (left == 0) {
-                LOG.info("census complete: {} machines accounted for", asked);
-            }
-            ground.events().changed();
+            less();
+        }
+    }
+
+    private void less() {
+        left--;
+        lastAt = ground.loop().now();
+        if (left == 0) {
+            LOG.info("census complete: {} machines accounted for", asked);
         }
+        ground.events().changed();
     }
 }
--- a/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
@@ -50,6 +50,9 @@
 
         /** A machine has reported that nobody knew of. */
         void newcomer();
+
+        /** What pages of the roster that cannot be read told of holds nothing any more. */
+        void unreadableOver();
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
@@ -280,6 +283,20 @@
         machines.put(id, m);
     }
 
+    /** A page of the roster cannot be read: machines that nobody knows may hold anything, for as long as a lease lasts. */
+    void unreadable() {
+        census.unreadable(lead.silentSince() + leaseMs);
+    }
+
+    /** True while machines that nobody knows may hold tasks of any team, nobody knows how many. */
+    public boolean anyUnreadable() {
+        return census.unreadable();
+    }
+
+    boolean knows(String type) {
+        return types.apply(type) != null;
+    }
+
     /** Adds a machine that was rented, listed or heard of; the caller has it written before anything is started. */
     public Machine appeared(String id, String addr, String type, String zone, boolean spot) {
         MachineType kind = types.apply(type);
@@ -466,6 +483,9 @@
         }
         long now = loop.now();
         boolean stuck = false;
+        if (census.unreadableOver(now)) {
+            events.unreadableOver();
+        }
         appraisal.look(machines.values(), census.left() > 0 && anyHeld(), now);
         for (Machine m : new ArrayList<>(machines.values())) {
             switch (appraisal.judge(m, now).verdict()) {
--- a/controller/src/main/java/org/landingridge/controller/fleet/Orders.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Orders.java
@@ -1,6 +1,7 @@
 package org.landingridge.controller.fleet;
 
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -22,6 +23,7 @@
     /** Questions at a time take this part of the connections at most, and never fewer than so many. */
     private static final int ASK_SHARE = 16;
     private static final int LEAST_ASKS = 12;
+    private static final int CALL_SHARE = 8;
     private final Ground ground;
     private final Map<String, LiveJob> jobs;
     private final Reports reports;
@@ -33,10 +35,14 @@
     private final int mostAsks;
     /** Questions that are out. */
     private int asking;
+    /** Commands sent straight to machines at a time; more wait for one that is over, the first decided first. */
+    private final int mostCalls;
+    private int calls;
     private boolean closed;
 
     Orders(Ground ground, Map<String, LiveJob> jobs, Reports reports, int maxConnections) {
         this.mostAsks = Math.max(LEAST_ASKS, maxConnections / ASK_SHARE);
+        this.mostCalls = Math.max(LEAST_ASKS, maxConnections / CALL_SHARE);
         this.ground = ground;
         this.jobs = jobs;
         this.reports = reports;
@@ -53,8 +59,12 @@
 
     /** Sends what has been decided, straight to the machines that need it; what can't be sent now waits for a tick. */
     void flush() {
-        touched.forEach(this::callDirect);
-        touched.clear();
+        Iterator<Machine> next = touched.iterator();
+        while (calls < mostCalls && next.hasNext()) {
+            Machine m = next.next();
+            next.remove();
+            callDirect(m);
+        }
     }
 
     /** What the machine should do now; {@code report} is the report answered, or -1 for a direct call. */
@@ -99,6 +109,10 @@
                 || m.state() != Machine.State.UP || now - m.heard > ground.leaseMs() || !ground.lead().mayAct()) {
             return;
         }
+        if (calls >= mostCalls) {
+            touched.add(m);
+            return;
+        }
         Commands c = commands(m, -1);
         if (c.isEmpty()) {
             return;
@@ -112,12 +126,15 @@
             }
         }
         m.calling = true;
+        calls++;
         ground.http().call(m.addr, "POST", "/commands", c.direct(token, m.session), CALL_MS, reply -> {
             m.calling = false;
+            calls--;
             starts.forEach(a -> a.directAt = Long.MIN_VALUE / 2);
             if (closed) {
                 return;
             }
+            ground.loop().after(0, this::flush);
             switch (reply.outcome()) {
                 case ANSWERED -> {
                     Report r = reports.read(m, reply);
--- a/controller/src/main/java/org/landingridge/controller/fleet/Roster.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Roster.java
@@ -6,11 +6,15 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.landingridge.controller.store.Document;
 import org.landingridge.controller.store.GroupWriter;
 import org.landingridge.wire.Json;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The written roster: every machine, many to one stored value. A row with an address is of a machine that may hold
@@ -23,6 +27,7 @@
  */
 public final class Roster {
     public static final String PREFIX = "fleet/";
+    private static final Logger LOG = LoggerFactory.getLogger(Roster.class);
     /** The row of a page that names images; in the others each stands as one digit. */
     private static final String IMAGES = "images";
     private static final int MAX_IMAGES = 36;
@@ -43,6 +48,8 @@
     private final int valueBytes;
     private final List<Page> pages = new ArrayList<>();
     private final Map<String, Page> pageOf = new HashMap<>();
+    /** Keys of pages that cannot be read; nothing is written there before their machines' leases are over. */
+    private final Set<String> quarantined = new LinkedHashSet<>();
 
     public Roster(String root, GroupWriter writer, Fleet fleet, double valueKb) {
         this.root = root;
@@ -60,6 +67,14 @@
      *                 later one may have answered them
      */
     public void takeOver(String key, JsonNode value, long at, long previous) {
+        String wrong = wrong(value);
+        if (wrong != null) {
+            // Taken for empty, what its machines hold would be started once more elsewhere.
+            LOG.error("{} cannot be read ({}): until a lease is over its machines may hold anything", key, wrong);
+            quarantined.add(key);
+            fleet.unreadable();
+            return;
+        }
         Page page = new Page(key);
         pages.add(page);
         JsonNode images = value.path(IMAGES);
@@ -81,6 +96,33 @@
         });
     }
 
+    /** What is wrong with a page, in a few words, or null. */
+    private String wrong(JsonNode value) {
+        if (!value.isObject()) {
+            return "not an object";
+        }
+        for (Map.Entry<String, JsonNode> e : value.properties()) {
+            JsonNode row = e.getValue();
+            boolean right = row.isArray() && (e.getKey().equals(IMAGES) || row.size() >= 4
+                    && (row.get(0).isNull() || row.get(0).isTextual()) && fleet.knows(row.get(1).asText())
+                    && row.get(2).isTextual() && row.get(3).isNumber());
+            if (!right) {
+                return "row " + e.getKey();
+            }
+        }
+        return null;
+    }
+
+    /** What the pages that cannot be read told of holds nothing any more: they go. */
+    public void dropUnreadable() {
+        for (String key : quarantined) {
+            Page empty = new Page(key);
+            pages.add(empty);
+            writer.mark(empty);
+        }
+        quarantined.clear();
+    }
+
     public void add(Machine m) {
         Page page = pageOf.get(m.id);
         if (page == null) {
@@ -114,7 +156,7 @@
     }
 
     private boolean taken(String key) {
-        return pages.stream().anyMatch(p -> p.key.equals(key));
+        return quarantined.contains(key) || pages.stream().anyMatch(p -> p.key.equals(key));
     }
 
     private final class Page implements Document {
--- a/controller/src/main/java/org/landingridge/controller/progress/Progress.java
+++ b/controller/src/main/java/org/landingridge/controller/progress/Progress.java
@@ -16,6 +16,8 @@
 import org.landingridge.controller.store.Document;
 import org.landingridge.controller.store.GroupWriter;
 import org.landingridge.wire.Json;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Finished tasks, written in groups: many jobs' bits to one stored value. A job's end takes the place of its last
@@ -30,6 +32,7 @@
     }
 
     public static final String PREFIX = "done/";
+    private static final Logger LOG = LoggerFactory.getLogger(Progress.class);
     /** Tasks to one chunk, so that the largest job's bits fit values of the smallest size. */
     private static final int CHUNK = 4096;
     private final String root;
@@ -56,12 +59,20 @@
         page.fields().forEachRemaining(e -> {
             int hash = e.getKey().lastIndexOf('#');
             if (hash > 0 && e.getValue().isTextual()) {
-                table.done(e.getKey().substring(0, hash), Integer.parseInt(e.getKey().substring(hash + 1)) * CHUNK,
-                        BitSet.valueOf(Base64.getDecoder().decode(e.getValue().textValue())));
+                try {
+                    table.done(e.getKey().substring(0, hash), Integer.parseInt(e.getKey().substring(hash + 1)) * CHUNK, bits(e));
+                } catch (IllegalArgumentException x) {
+                    // What had finished ends at once where it is started again: its result is kept.
+                    LOG.error("the finished tasks of {} cannot be read: they are asked for again", e.getKey());
+                }
             }
         });
     }
 
+    private static BitSet bits(Map.Entry<String, JsonNode> e) {
+        return BitSet.valueOf(Base64.getDecoder().decode(e.getValue().asText()));
+    }
+
     public void takeOver(String key, JsonNode value, JobTable table) {
         Page page = new Page(key);
         pages.add(page);
@@ -69,7 +80,11 @@
             int hash = e.getKey().lastIndexOf('#');
             Job job = hash > 0 ? table.get(e.getKey().substring(0, hash)) : null;
             if (job != null && job.active()) {
-                page.chunks.put(e.getKey(), BitSet.valueOf(Base64.getDecoder().decode(e.getValue().asText())));
+                try {
+                    page.chunks.put(e.getKey(), bits(e));
+                } catch (IllegalArgumentException x) {
+                    page.chunks.put(e.getKey(), new BitSet());
+                }
                 page.bytes += size(job.id(), job.tasks());
                 pageOf.put(e.getKey(), page);
             }
--- a/controller/src/main/java/org/landingridge/controller/reign/Pass.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Pass.java
@@ -147,6 +147,9 @@
 
     private List<Node> nodes(long now, List<Team> teams, Map<String, Group> groups) {
         List<Node> nodes = new ArrayList<>();
+        if (fleet.anyUnreadable()) {
+            teams.forEach(t -> t.hold(Double.MAX_VALUE, Double.MAX_VALUE));
+        }
         for (Machine m : fleet.machines()) {
             boolean usable = fleet.usable(m, now);
             if (fleet.unaccounted(m)) {
--- a/controller/src/main/java/org/landingridge/controller/reign/Reign.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Reign.java
@@ -220,6 +220,11 @@
         roster.add(machine);
     }
 
+    @Override
+    public void unreadableOver() {
+        roster.dropUnreadable();
+    }
+
     @Override
     public void newcomer() {
         picture.newcomer(loop.now());
--- a/experiment/src/test/java/org/landingridge/experiment/AllDownTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/AllDownTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.LongStream;
@@ -15,6 +16,7 @@
 import org.landingridge.controller.config.Settings;
 import org.landingridge.emulator.Truth.Order;
 import org.landingridge.emulator.Worker;
+import org.landingridge.wire.Json;
 
 /** All controllers go down, machines are lost meanwhile, and all come up at once. */
 class AllDownTest {
@@ -60,10 +62,14 @@
 
     /** Everything runs or is over, and no rule was broken on the way. */
     private void settled() {
+        settled(6);
+    }
+
+    private void settled(int arrays) {
         assertEquals(List.of(), w.rules.broken);
         assertEquals(0, w.state.tooLarge);
         assertEquals(SERVICES, services());
-        assertEquals(6, w.over("done"));
+        assertEquals(arrays, w.over("done"));
     }
 
     @ParameterizedTest
@@ -115,6 +121,28 @@
         settled();
     }
 
+    /** Guards {@code Roster.takeOver}: a page that is taken for empty has what its machines hold started once more. */
+    @ParameterizedTest
+    @CsvSource({"51,x", "52,[]", "53,row"})
+    @DisplayName("a page of the roster that cannot be read is never taken for empty, and the rest goes on")
+    void unreadableRoster(long seed, String form) {
+        world(seed);
+        Worker silent = w.workers.stream().filter(x -> x.running() != null).findFirst().orElseThrow();
+        down(4_000);
+        w.at(DOWN_AT + 500, () -> w.nodes.forEach(n -> w.sim.cut(n.host.name, silent.box().id)));
+        w.at(DOWN_AT + 1_000, () -> w.state.keys("lr/fleet/").forEach(key -> w.state.seed(key, switch (form) {
+            case "x" -> Json.object().textNode("x");
+            case "[]" -> Json.array();
+            default -> w.state.value(key).<ObjectNode>deepCopy().put(silent.box().id, "half a row");
+        })));
+        w.at(DOWN_AT + 12_000, () -> w.submit(World.job(200, "blue", false, 3, 1, 2)));
+        w.sim.run(DOWN_AT + 20_000);
+        assertEquals("done", w.rules.told.get("job-000200"), "what is new goes on");
+        w.sim.run(120_000);
+        settled(7);
+        assertTrue(w.state.keys("lr/fleet/").stream().allMatch(k -> w.state.value(k).isObject()), "the page is gone");
+    }
+
     @Test
     @DisplayName("a first start rents nothing for work that machines up but in no list can take")
     void firstStart() {
