Nothing is settled by a return that cannot be written now

Need: in an outage of the state service a silent machine was marked for its give-back, and the call went out once the service answered, when the machine might long have been back. Change: settling needs the state service. Result: SilenceTest.hangsWithinAnOutage.

--- a/controller/src/main/java/org/landingridge/controller/fleet/Appraisal.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Appraisal.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import org.landingridge.controller.lead.Leadership;
 import org.landingridge.controller.recovery.Judgement;
 import org.landingridge.controller.recovery.MachineEvidence;
 import org.landingridge.controller.recovery.MachineEvidence.Row;
@@ -146,6 +147,7 @@
     }
 
     private boolean worth(Machine m, long now) {
-        return leaseEnds(m) - now > LEAST_GAIN_MS && (m.hasLive() || m.inCensus && waitingFor);
+        // A give-back that cannot be written now would be carried out later, when the machine may be back.
+        return leaseEnds(m) - now > LEAST_GAIN_MS && ground.lead().state() == Leadership.State.LEADING && (m.hasLive() || m.inCensus && waitingFor);
     }
 }
--- a/experiment/src/test/java/org/landingridge/experiment/SilenceTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/SilenceTest.java
@@ -90,6 +90,24 @@
         kept();
     }
 
+    /** Guards {@code Appraisal.worth}: a give-back that waits for the state service is carried out on a machine that is back. */
+    @Test
+    @DisplayName("a machine that hangs within an outage of the state service is not given back after both are over")
+    void hangsWithinAnOutage() {
+        services(12);
+        Worker hung = busy().get(0);
+        String task = hung.running();
+        w.state.outage(true);
+        hung.hang(true);
+        w.sim.run(30_000 + 12_000);
+        hung.hang(false);
+        w.at(30_000 + 14_000, () -> w.state.outage(false));
+        w.sim.run(30_000 + 25_000);
+        assertEquals(task, hung.running(), "it goes on");
+        assertEquals(0, w.metric(w.leader(), "landingridge_settled"));
+        kept();
+    }
+
     @Test
     @DisplayName("where a zone falls silent its machines are left to their leases: most of them go on working")
     void aZoneCutOff() {
