--- a/experiment/src/test/java/org/landingridge/experiment/AtSizeTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/AtSizeTest.java
@@ -6,6 +6,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.DisplayName;
+import org.landingridge.controller.config.Settings;
 import org.junit.jupiter.api.Test;
 import org.landingridge.controller.store.Keys;
 
@@ -84,4 +87,25 @@
     void aMillionEndedJobsInTheHeapOfOneController() throws IOException, InterruptedException {
         assertEquals(requests(1_000), requests(1_000_000), "requests to the state service until leading");
     }
+
+    @Test
+    @DisplayName("10,000 machines that report for the first time stand on the roster within 15 s, at 40 changes a second")
+    void theRosterKeepsUp() {
+        World w = new World(new World.Setup(5, 3, 10_000, 3_000, 5_000, 26_500, Map.of("all",
+                new Settings.Team("all", 40_000, 0, 0, 0)), new Settings.State(500, 40, 4, 8)));
+        w.enforceLimits();
+        w.cloud.bootMs = 0;
+        for (int i = 0; i < 10_000; i++) {
+            w.cloud.rent(i % 2 == 0 ? "a" : "b", false);
+        }
+        w.sim.run(15_000);
+        int usable = 0;
+        for (String page : w.state.keys("lr/fleet/")) {
+            for (var row : w.state.value(page).properties()) {
+                usable += row.getValue().path(0).isTextual() ? 1 : 0;
+            }
+        }
+        assertEquals(10_000, usable);
+        assertEquals(0, w.state.tooLarge);
+    }
 }
