Quick returns and late copies: machines that begin anew, starts that come again, answers for a former life; whose fault an error is

Need: a process or machine may be back within a fraction of a second, and late copies and repeats may follow. A machine back under its old name was taken for alive with its tasks, for good: its reports looked old. A copy of a direct start that came after the clear of its attempt ran the task once more. An answer that the leader sent to a controller's former life could reach another machine by its number. A late refusal deposed a leader in an outage.

Change: an answer older than what was known when it was asked for means a new life, behind a raised token; attempts are cleared once the machine has seen a higher token than that of their direct start; carried reports are numbered from a random start; refusals and signs of life of the past are told. A leader that stood still takes nobody for silent. Errors: job or machine, by the evidence of both; boots by pool, forgotten in time; dear machines not for work that nobody expects by a time; stopped at once where the start could not wait for a save.

--- a/controller/src/main/java/org/landingridge/controller/Controller.java
+++ b/controller/src/main/java/org/landingridge/controller/Controller.java
@@ -103,7 +103,7 @@
         this.peers = peers;
         others = settings.peers().stream().map(Settings.Peer::host).toList();
         roll = new Roll(client, mirror, loop, settings.host(), others);
-        relay = new Relay(loop, peers, settings.host());
+        relay = new Relay(loop, peers, random, settings.host());
         lead = new Leadership(client, mirror, loop, random, Keys.LEADER, settings.host(),
                 Math.round(policy.leaderHoldS() * 1000), others, peers, this);
         GroupWriter writer = new GroupWriter(client, mirror, loop, settings.stateLimits().txnOps(),
@@ -156,9 +156,12 @@
         } else if (message instanceof Message.HandOver m) {
             lead.handedOver(m);
         } else if (message instanceof Message.Running m) {
-            relay.heard(m.host());
-            jobs.leaderHeard(m.comesShort());
-            metrics.busy.during(Part.DISPLAY, () -> showRunning(m.counts()));
+            // The sign of life of a leader of the past may come late: it may not hide the one that is heard.
+            if (!otherIsHeard(m.host())) {
+                relay.heard(m.host());
+                jobs.leaderHeard(m.comesShort());
+                metrics.busy.during(Part.DISPLAY, () -> showRunning(m.counts()));
+            }
         } else if (message instanceof Message.Report m) {
             Http.Exchange exchange = relay.carried(m);
             if (reign != null && lead.mayAct()) {
@@ -379,6 +382,11 @@
                 && (leader.equals(relay.heard()) || loop.now() - leaderSince > HEAR_MS);
     }
 
+    private boolean otherIsHeard(String host) {
+        String leader = leader();
+        return leader != null && !leader.equals(host) && leader.equals(relay.heard());
+    }
+
     /** The leader by its key; a process that began in an outage of the state service knows it by its word only. */
     private String leader() {
         return lead.leaderHost() != null || mirror.following() ? lead.leaderHost() : relay.heard();
@@ -404,6 +412,7 @@
     private byte[] status() {
         ObjectNode n = Json.object();
         n.put("host", settings.host()).put("leadership", lead.state().name()).put("leader", lead.leaderHost())
+                .put("token", lead.leads() ? lead.token() : 0)
                 .put("ready", ready()).put("revision", mirror.revision()).put("jobs", table.size())
                 .put("activeJobs", table.active().size());
         if (reign != null) {
--- a/controller/src/main/java/org/landingridge/controller/fleet/Appraisal.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Appraisal.java
@@ -45,7 +45,7 @@
     private final double settleShare;
     private final Map<String, Zone> zones = new HashMap<>();
     private final Deque<Return> returns = new ArrayDeque<>();
-    private long began;
+    private long awake;
     private boolean waitingFor;
     private Set<String> cutOff = Set.of();
 
@@ -57,8 +57,9 @@
         this.settleShare = settleShare;
     }
 
-    void start(long now) {
-        began = now;
+    /** From now on reports are taken in: at the beginning, and again where the process stood still. */
+    void awake(long now) {
+        awake = now;
     }
 
     /** Tells of zones in which so many machines are silent that they are left to their leases. */
@@ -119,22 +120,22 @@
         Word word = !m.everHeard() ? Word.NONE : m.fenced ? Word.OURS : Word.OLD;
         return Reconciliation.machine(new MachineEvidence(row, word, m.listedFailed,
                 m.state() == Machine.State.LEAVING, now > leaseEnds(m), silent(m, now), m.unanswered >= ASKED,
-                overdue(m, now), m.errors >= 4 && !m.hasLive() && m.state() == Machine.State.UP, crowd(m.zone),
+                overdue(m, now), Faults.faulty(m.proven, m.failed.size()) && !m.hasLive() && m.state() == Machine.State.UP, crowd(m.zone),
                 worth(m, now)));
     }
 
     private boolean silent(Machine m, long now) {
         long reportMs = ground.reportMs();
         if (m.everHeard()) {
-            return now - m.heard > reportMs * (1 + REPORT_SLACK) + WAY_MS;
+            return now - Math.max(m.heard, awake) > reportMs * (1 + REPORT_SLACK) + WAY_MS;
         }
         boolean few = census.left() <= Math.max(FEW, census.asked() / FEW_SHARE) || now - census.lastAt() > LULL_MS;
-        return !m.inCensus || now - began > (few ? WAY_MS : reportMs * (1 + REPORT_SLACK) + WAY_MS);
+        return !m.inCensus || now - awake > (few ? WAY_MS : reportMs * (1 + REPORT_SLACK) + WAY_MS);
     }
 
     private boolean overdue(Machine m, long now) {
         return switch (m.state()) {
-            case BOOTING -> now - m.appeared > boots.usualMostMs(m.kind) + bootMarginMs;
+            case BOOTING -> now - m.appeared > boots.usualMostMs(m, now) + bootMarginMs;
             case LAPSED -> now - m.answered > ground.leaseMs() + bootMarginMs;
             default -> false;
         };
--- a/controller/src/main/java/org/landingridge/controller/fleet/Attempt.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Attempt.java
@@ -7,6 +7,9 @@
     /** SENT: start given, not yet seen in a report. OVER: certainly not on the machine any more. */
     public enum State { SENT, FETCHING, RUNNING, SAVING, EXITED, OVER }
 
+    /** The worker's word for an attempt that completed. */
+    static final String DONE = "done";
+
     final String job;
     final int task;
     final long number;
@@ -24,6 +27,8 @@
     long directAt = Long.MIN_VALUE / 2;
     /** Token of a direct start that got no answer and so may still arrive; 0 if there is none. */
     long unansweredUnder;
+    /** Token of the last start that was sent straight to the machine, 0 if none was: a copy of it may come late. */
+    long directUnder;
     boolean stopWanted;
     double graceS;
     long stopSentAt = Long.MIN_VALUE / 2;
@@ -72,6 +77,14 @@
         return runningSince;
     }
 
+    /**
+     * True if a late copy of its start could run it once more, should its machine forget it: token and session match for as
+     * long as the machine has seen no higher token.
+     */
+    boolean copyCouldRun() {
+        return directUnder != 0 && machine.token <= directUnder;
+    }
+
     /** True while it takes room on its machine. */
     public boolean live() {
         return state != State.EXITED && state != State.OVER;
--- a/controller/src/main/java/org/landingridge/controller/fleet/Attempts.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Attempts.java
@@ -17,15 +17,15 @@
 /** What becomes of attempts: placed, seen, over; each change of theirs and of their tasks begins here. */
 final class Attempts {
     private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
-    /** The worker's word for an attempt that completed. */
-    private static final String DONE = "done";
     private final Ground ground;
+    private final Faults faults;
     private final Map<String, LiveJob> jobs;
     /** What the tasks of ended jobs take. */
     private final Function<String, JobSpec> endedSpecs;
     private long count;
 
-    Attempts(Ground ground, Map<String, LiveJob> jobs, Function<String, JobSpec> endedSpecs) {
+    Attempts(Ground ground, Map<String, LiveJob> jobs, Function<String, JobSpec> endedSpecs, Faults faults) {
+        this.faults = faults;
         this.ground = ground;
         this.jobs = jobs;
         this.endedSpecs = endedSpecs;
@@ -58,7 +58,7 @@
         Attempt a = new Attempt(m, e.job(), e.task(), e.attempt(), spec, null, now);
         m.attempts.put(a.number, a);
         Said said = e.status() != Report.TaskStatus.EXITED ? Said.ON
-                : DONE.equals(e.why()) && job != null && !spec.service() ? Said.DONE : Said.ENDED;
+                : Attempt.DONE.equals(e.why()) && job != null && !spec.service() ? Said.DONE : Said.ENDED;
         Stored stored = job != null ? Stored.LIVE : spec != null ? Stored.OVER : Stored.ABSENT;
         Judgement judgement = Reconciliation.entry(new EntryEvidence(stored, known(task), said));
         switch (judgement.verdict()) {
@@ -128,10 +128,9 @@
         if (task == null) {
             return;
         }
-        boolean done = a.why.equals(DONE) && !task.job.spec().service();
+        boolean done = a.why.equals(Attempt.DONE) && !task.job.spec().service();
         if (done) {
-            task.job.failures = 0;
-            a.machine.errors = 0;
+            faults.completed(task.job, a.machine);
             if (task.state() == Task.State.PENDING || task.state() == Task.State.ON_MACHINE) {
                 Attempt other = task.attempt();
                 if (other != null && other != a) {
@@ -149,13 +148,7 @@
         }
         switch (a.why) {
             case "error" -> {
-                a.machine.errors++;
-                task.job.failures++;
-                a.machine.avoidUntil = now + 5_000;
-                // A job submitted with a mistake fails everywhere until its user cancels it: it may not spin.
-                if (task.job.failures > 2) {
-                    task.job.notBefore = now + Math.min(30_000, 500L << Math.min(6, task.job.failures - 2));
-                }
+                faults.failed(task.job, a.machine, now);
                 LOG.info("{} failed on {}", a.name(), a.machine.id);
             }
             case "full", "busy", "unknown" -> {
--- /dev/null
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Faults.java
@@ -0,0 +1,99 @@
+package org.landingridge.controller.fleet;
+
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Whose fault an error is, the job's or the machine's, by the evidence of both sides. A job that fails on several machines
+ * and has not succeeded since is taken to be broken: it was submitted with a mistake, which no machine can help. A machine on
+ * which jobs fail that succeed elsewhere, or several jobs one after the other, is faulty. Until one of the two is known the
+ * machine is avoided for a while, and the job waits a little.
+ */
+final class Faults {
+    private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+    /** A job that has failed on so many machines, without a success since, is broken. */
+    static final int MACHINES = 2;
+    /** Or so often at all, where there are not so many machines. */
+    static final int TIMES = 6;
+    /** A machine is faulty by so many failures of jobs that succeed elsewhere. */
+    static final int PROVEN = 2;
+    /** Or where so many different jobs fail, of which nothing is known. */
+    static final int JOBS = 3;
+    private static final long AVOID_MS = 5_000;
+    private static final long PAUSE_MS = 500;
+    private static final long PROBE_MS = 2_000;
+    private static final int MOST_DOUBLINGS = 5;
+    private final Ground ground;
+    private final Function<String, Machine> machines;
+
+    Faults(Ground ground, Function<String, Machine> machines) {
+        this.ground = ground;
+        this.machines = machines;
+    }
+
+    /** A task of the job ended with an error on the machine. */
+    void failed(LiveJob job, Machine m, long now) {
+        job.failedOn.add(m.id);
+        job.failures++;
+        LiveJob.Health health = health(job.failedOn.size(), job.failures, job.succeeded);
+        if (health == LiveJob.Health.BROKEN && job.health() != health) {
+            // What it did there says nothing of the machines any more.
+            for (String id : job.failedOn) {
+                Machine other = machines.apply(id);
+                if (other != null && other.failed.remove(job.id())) {
+                    other.avoidUntil = now;
+                }
+            }
+            LOG.info("{} fails on every machine that it is given: one task at a time is tried from now on", job.id());
+            ground.incidents().say(job.id() + " (" + job.spec().jobClass() + ") fails on every machine, so far on "
+                    + String.join(", ", job.failedOn) + ": it looks like a mistake in the job; one task at a time is tried"
+                    + " until it is cancelled");
+            ground.chronicle().tell("job_broken", "job", job.id(), "machines", job.failedOn.size());
+        }
+        job.to(health);
+        if (health == LiveJob.Health.BROKEN) {
+            // Bounded, and never for good: a mistake outside the job may be mended.
+            job.notBefore = now + (PROBE_MS << Math.min(MOST_DOUBLINGS, job.failures - MACHINES));
+            return;
+        }
+        job.notBefore = now + PAUSE_MS;
+        m.failed.add(job.id());
+        m.proven += job.succeeded ? 1 : 0;
+        m.errors++;
+        m.avoidUntil = now + (AVOID_MS << Math.min(MOST_DOUBLINGS, m.errors - 1));
+    }
+
+    /** A task of the job completed on the machine: both have shown that they work. */
+    void completed(LiveJob job, Machine m) {
+        for (String id : job.failedOn) {
+            Machine other = machines.apply(id);
+            if (other != null && other != m) {
+                // It failed there and succeeds here: then it was the machine.
+                other.failed.add(job.id());
+                other.proven++;
+            }
+        }
+        job.failedOn.clear();
+        job.failures = 0;
+        job.succeeded = true;
+        job.to(LiveJob.Health.SOUND);
+        m.failed.clear();
+        m.proven = 0;
+        m.errors = 0;
+    }
+
+    /** What the failures since the last success say of a job. */
+    static LiveJob.Health health(int machines, int failures, boolean succeeded) {
+        if (failures == 0) {
+            return LiveJob.Health.SOUND;
+        }
+        int more = succeeded ? 2 : 1;
+        return machines >= MACHINES * more || failures >= TIMES * more ? LiveJob.Health.BROKEN : LiveJob.Health.DOUBTED;
+    }
+
+    /** True if the failures on a machine since its last success are its own. */
+    static boolean faulty(int proven, int jobs) {
+        return proven >= PROVEN || jobs >= JOBS;
+    }
+}
--- a/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
@@ -60,6 +60,17 @@
     private static final long DRAIN_MS = 30_000;
     /** So long a machine that was given back is known as such. */
     private static final long RETURNED_MS = 900_000;
+    private static final long TICK_MS = 500;
+    /** A tick that comes so much later than it is due was held up by the whole process. */
+    private static final long STOOD_STILL_MS = 1_000;
+    /** An older report so long after the last word may be the first of a new life; sooner, it has crossed an answer. */
+    private static final long DOUBT_MS = 1_000;
+    /** A higher token costs a change and a report of every machine. */
+    private static final long RAISE_MS = 10_000;
+    private static final long RAISE_ANEW_MS = 1_000;
+    /** So long, or until there are so many, ended attempts stay on a machine that a copy of their start could run again. */
+    private static final long RAISE_KEPT_MS = 60_000;
+    private static final int MOST_KEPT = 100;
     /** One in so many machines without a report are many. */
     private static final int MANY = 4;
     private final Loop loop;
@@ -81,7 +92,8 @@
     private final Reports reports;
     private final Orders orders;
     private final Appraisal appraisal;
-    private long tokenRaised = Long.MIN_VALUE / 2;
+    private long tokenRaised;
+    private long ticked;
     private boolean closed;
 
     /** @param endedSpecs what the tasks of ended jobs take, null where that is not known any more */
@@ -101,14 +113,16 @@
         Ground ground = new Ground(loop, http, lead, reignToken, metrics, incidents, chronicle, events, leaseMs,
                 Math.round(workers.reportS() * 1000));
         census = new Census(ground);
-        attempts = new Attempts(ground, jobs, endedSpecs);
+        attempts = new Attempts(ground, jobs, endedSpecs, new Faults(ground, machines::get));
         reports = new Reports(ground, attempts, census, boots);
         orders = new Orders(ground, jobs, reports, maxConnections);
         appraisal = new Appraisal(ground, census, boots, Math.round(policy.bootMarginS() * 1000), policy.settleShare());
     }
 
     public void start() {
-        appraisal.start(loop.now());
+        appraisal.awake(loop.now());
+        ticked = loop.now();
+        tokenRaised = loop.now();
         tick();
     }
 
@@ -194,10 +208,16 @@
 
     /** True if the machine is on its way, or only has to be fenced and written. */
     public boolean coming(Machine m, long now) {
-        return m.state() == Machine.State.BOOTING && m.noticeS == null
+        // One that does not come up while others do is replaced before it is given up.
+        return m.state() == Machine.State.BOOTING && m.noticeS == null && !boots.left(m, now)
                 || m.state() == Machine.State.UP && !(m.fenced && m.written) && m.noticeS == null;
     }
 
+    /** True if it boots longer than is usual, and so do all like it. */
+    public boolean lateWithAll(Machine m, long now) {
+        return m.state() == Machine.State.BOOTING && m.rented && boots.allLate(m, now);
+    }
+
     /**
      * True if its first report to this leader is due and many others' are. Once most have come in, who is missing has
      * likely lost what it held.
@@ -430,6 +450,10 @@
             return;
         }
         boolean news = reports.merge(m, r, true);
+        if (!news && (m.older > 1 || loop.now() - m.heard > DOUBT_MS)) {
+            // Its answer tells a late report from a machine that has begun anew.
+            orders.ask(m);
+        }
         if (m.voice() != Machine.Voice.HEARD) {
             // A later leader may count its lease from before: it must read first that this one is answered again.
             if (m.waiting != null) {
@@ -483,6 +507,15 @@
         }
         long now = loop.now();
         boolean stuck = false;
+        boolean anew = false;
+        int kept = 0;
+        // A process that stood still while its clocks ran on has heard nobody: that says nothing of the machines.
+        if (now - ticked > TICK_MS + STOOD_STILL_MS) {
+            LOG.info("stood still for {} ms", now - ticked - TICK_MS);
+            incidents.say("this controller stood still for " + (now - ticked - TICK_MS) + " ms");
+            appraisal.awake(now);
+        }
+        ticked = now;
         if (census.unreadableOver(now)) {
             events.unreadableOver();
         }
@@ -499,6 +532,11 @@
                 default -> { }
             }
             stuck |= m.state() == Machine.State.UP && orders.withdrawn(m, now);
+            kept = Math.max(kept, orders.kept(m));
+            if (m.life() == Machine.Life.ANEW) {
+                anew |= lead.token() <= m.lifeAbove;
+                orders.ask(m);
+            }
             orders.callDirect(m);
         }
         // Lists lag, and reports may come minutes late: after that a name that was given back is not heard of any more.
@@ -506,11 +544,12 @@
         while (returns.hasNext() && now - returns.next() > RETURNED_MS) {
             returns.remove();
         }
-        if (stuck && now - tokenRaised > 10_000) {
+        if ((stuck || kept > MOST_KEPT) && now - tokenRaised > RAISE_MS || kept > 0 && now - tokenRaised > RAISE_KEPT_MS
+                || anew && now - tokenRaised > RAISE_ANEW_MS) {
             tokenRaised = now;
             lead.raiseToken();
         }
-        loop.after(500, this::tick);
+        loop.after(TICK_MS, this::tick);
     }
 
     /** True if tasks of earlier leaders' jobs wait. */
--- a/controller/src/main/java/org/landingridge/controller/fleet/LiveJob.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/LiveJob.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import org.agrona.collections.Int2ObjectHashMap;
 import org.landingridge.controller.jobs.Job;
 import org.landingridge.wire.JobSpec;
@@ -22,8 +24,15 @@
     final long since;
     /** Where the search for a waiting task goes on. */
     int next;
-    /** Exits with an error since the last success: a job that fails everywhere backs off. */
+    /** SOUND: nothing speaks against it. DOUBTED: a task has failed. BROKEN: it fails wherever it is tried. */
+    public enum Health { SOUND, DOUBTED, BROKEN }
+
+    private Health health = Health.SOUND;
+    /** Exits with an error since the last success, and the machines on which they were: as many as make it broken. */
     int failures;
+    final Set<String> failedOn = new LinkedHashSet<>();
+    /** One of its tasks has completed in this reign. */
+    boolean succeeded;
     long notBefore;
 
     LiveJob(Job job, boolean own, long now) {
@@ -85,6 +94,15 @@
         return counts[state.ordinal()];
     }
 
+    public Health health() {
+        return health;
+    }
+
+    /** The only place where its health changes. */
+    void to(Health next) {
+        health = next;
+    }
+
     public long notBefore() {
         return notBefore;
     }
--- a/controller/src/main/java/org/landingridge/controller/fleet/Machine.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Machine.java
@@ -22,6 +22,13 @@
      */
     enum Voice { HEARD, MUTED, RETURNING }
 
+    /**
+     * Whether the worker that speaks is the one that was known. KNOWN: it is. ANEW: it has begun anew under its old name, by
+     * an answer older than what was known when it was asked for; what its earlier life held counts as held until it has
+     * shown a token from after that, so that nothing sent to the earlier life can reach it any more.
+     */
+    enum Life { KNOWN, ANEW }
+
     final String id;
     final String type;
     final String zone;
@@ -30,6 +37,11 @@
     String addr;
     private State state = State.BOOTING;
     private Voice voice = Voice.HEARD;
+    private Life life = Life.KNOWN;
+    /** Reports that show no higher token than this were sent by an earlier life of the machine. */
+    long lifeAbove;
+    /** Reports in a row that were older than what is known. */
+    int older;
     /** A row that tells of its silence is stored, or may be. */
     boolean told;
     /** A report that waits for the row to be stored; null while there is none. */
@@ -58,7 +70,10 @@
     long callNotBefore;
     long askNotBefore;
     long idleSince;
+    /** Errors of jobs that are not broken since the last success, the jobs, and how many of these succeed elsewhere. */
     int errors;
+    final Set<String> failed = new LinkedHashSet<>();
+    int proven;
     long avoidUntil = Long.MIN_VALUE / 2;
     long drainUntil = Long.MIN_VALUE / 2;
     /** By number; no cached iterators, since a pass over them may start another. */
@@ -125,6 +140,18 @@
         voice = next;
     }
 
+    Life life() {
+        return life;
+    }
+
+    /** The only place where a machine begins a life. */
+    void to(Life next) {
+        if (next == life) {
+            throw new IllegalStateException(id + ": " + life + " -> " + next);
+        }
+        life = next;
+    }
+
     /** True if it may be given tasks, and so must stand in the roster with its address. */
     boolean mayHold() {
         return addr != null && state != State.BOOTING && state != State.LAPSED;
--- a/controller/src/main/java/org/landingridge/controller/fleet/Orders.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Orders.java
@@ -80,7 +80,7 @@
                 boolean kept = a.owner != null && a.owner.state() == Task.State.FINISHED
                         && jobs.containsKey(a.job);
                 // A start that may still arrive would run once more if the machine forgot the attempt.
-                if (!direct && !kept && a.unansweredUnder == 0) {
+                if (!direct && !kept && a.unansweredUnder == 0 && !a.copyCouldRun()) {
                     c.forget(a.job, a.task, a.number);
                 }
             } else if (a.stopWanted && a.state() != Attempt.State.SENT && (!direct || now - a.stopSentAt > 1_000)) {
@@ -123,11 +123,14 @@
             if (a.state() == Attempt.State.SENT && !a.stopWanted && a.sentWithReport < 0 && a.unansweredUnder == 0) {
                 starts.add(a);
                 a.directAt = now;
+                a.directUnder = token;
             }
         }
         m.calling = true;
         calls++;
-        ground.http().call(m.addr, "POST", "/commands", c.direct(token, m.session), CALL_MS, reply -> {
+        long session = m.session;
+        long seq = m.seq;
+        ground.http().call(m.addr, "POST", "/commands", c.direct(token, session), CALL_MS, reply -> {
             m.calling = false;
             calls--;
             starts.forEach(a -> a.directAt = Long.MIN_VALUE / 2);
@@ -138,7 +141,7 @@
             switch (reply.outcome()) {
                 case ANSWERED -> {
                     Report r = reports.read(m, reply);
-                    if (r == null || !reports.merge(m, r, false)) {
+                    if (r == null || !reports.mergeAnswer(m, r, session, seq)) {
                         m.callNotBefore = ground.loop().now() + 500;
                     }
                     ground.loop().after(20, () -> callDirect(m));
@@ -171,8 +174,9 @@
         }
         m.calling = true;
         asking++;
-        long session = Math.max(1, m.session);
-        byte[] body = new Commands().direct(ground.lead().token(), session);
+        long session = m.session;
+        long seq = m.seq;
+        byte[] body = new Commands().direct(ground.lead().token(), Math.max(1, session));
         ground.http().call(m.addr, "POST", "/commands", body, CALL_MS, reply -> {
             m.calling = false;
             asking--;
@@ -186,15 +190,25 @@
             }
             Report r = reports.read(m, reply);
             if (r != null) {
-                reports.merge(m, r, false);
+                reports.mergeAnswer(m, r, session, seq);
                 m.heard(ground.loop().now());
-                if (!m.fenced) {
+                // One that has begun anew is shown the next token, which is not there yet.
+                if (!m.fenced && m.life() == Machine.Life.KNOWN) {
                     ask(m, tries + 1);
                 }
             }
         });
     }
 
+    /** Attempts that have ended and stay on the machine until it has seen a higher token than ours is now. */
+    int kept(Machine m) {
+        int kept = 0;
+        for (Attempt a : m.attempts.values()) {
+            kept += a.state() == Attempt.State.EXITED && a.copyCouldRun() && a.directUnder == ground.lead().token() ? 1 : 0;
+        }
+        return kept;
+    }
+
     /**
      * True if something that should be off the machine may still arrive there: a start that was sent straight, got no
      * answer, and is not wanted any more. It may come minutes late, for instance long after its job's cancellation;
--- a/controller/src/main/java/org/landingridge/controller/fleet/Reports.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Reports.java
@@ -29,11 +29,51 @@
         return r.session() > m.session || r.session() == m.session && r.seq() > m.seq;
     }
 
+    /**
+     * Takes over what a worker answered to a call, which it wrote after the call was sent.
+     *
+     * @param session the newest session known when the call was sent
+     * @param seq     the newest sequence known then
+     * @return false if something newer is known already
+     */
+    boolean mergeAnswer(Machine m, Report r, long session, long seq) {
+        boolean older = r.session() < session || r.session() == session && r.seq() <= seq;
+        // Sequences only grow within a life: whoever answers now with an older one has begun anew, and what it held is gone.
+        // Without this it would be taken for alive, with its tasks, for good: all its reports look old.
+        if (older && m.life() == Machine.Life.KNOWN) {
+            LOG.info("{} has begun anew: it answers with {}/{} after {}/{}", m.id, r.session(), r.seq(), session, seq);
+            ground.incidents().say(m.id + " was started anew; what it ran before is lost");
+            ground.chronicle().tell("begun_anew", "machine", m.id, "zone", m.zone, "held", m.live());
+            m.to(Machine.Life.ANEW);
+            m.lifeAbove = ground.lead().token();
+            m.fenced = false;
+        }
+        return merge(m, r, false);
+    }
+
+    /** The first word of a machine that has begun anew and can be reached by nothing that was sent before. */
+    private void begin(Machine m) {
+        m.to(Machine.Life.KNOWN);
+        attempts.releaseAll(m, "it was started anew");
+        m.images.clear();
+        m.session = -1;
+        m.seq = -1;
+    }
+
     /** Takes over what a worker says; false if something newer is known already. */
     boolean merge(Machine m, Report r, boolean hello) {
+        // Late reports of an earlier life would take tasks of the present one for gone.
+        if (m.lifeAbove > 0 && r.token() <= m.lifeAbove) {
+            return false;
+        }
+        if (m.life() == Machine.Life.ANEW) {
+            begin(m);
+        }
         if (!newer(m, r)) {
+            m.older++;
             return false;
         }
+        m.older = 0;
         long now = ground.loop().now();
         boolean news = !Objects.equals(m.noticeS, r.noticeS());
         if (r.session() > m.session) {
@@ -66,7 +106,7 @@
             }
             if (m.rented) {
                 m.rented = false;
-                boots.booted(m.kind, now - m.appeared);
+                boots.booted(m, now);
             }
         }
         for (Report.Entry e : r.tasks()) {
--- a/controller/src/main/java/org/landingridge/controller/lead/Leadership.java
+++ b/controller/src/main/java/org/landingridge/controller/lead/Leadership.java
@@ -387,7 +387,9 @@
     }
 
     public void refused(Message.Refuse refusal) {
-        if (!leads() || refusal.token() != token || loop.now() - renewed < holdMs / 2) {
+        // One that comes late tells of an earlier trouble: in an outage it would cost the lead that the others have promised.
+        if (!leads() || refusal.token() != token || loop.now() - renewed < holdMs / 2
+                || !promises.askedLately(refusal.number())) {
             return;
         }
         // Someone else can use the state service. One more try of our own, then the lead goes to that controller.
--- a/controller/src/main/java/org/landingridge/controller/lead/Promises.java
+++ b/controller/src/main/java/org/landingridge/controller/lead/Promises.java
@@ -107,6 +107,12 @@
         return from + (long) (LIFE_MS * (1 - Leadership.DRIFT)) - Leadership.MARGIN_MS;
     }
 
+    /** True if the ask of this number was sent so lately that an answer to it tells of the present. */
+    boolean askedLately(long number) {
+        Long sent = askedAt.get(number);
+        return sent != null && loop.now() - sent < LIFE_MS;
+    }
+
     /** The lead is over: what was granted for it counts for nothing any more. */
     void clear() {
         granted.clear();
--- a/controller/src/main/java/org/landingridge/controller/peer/Relay.java
+++ b/controller/src/main/java/org/landingridge/controller/peer/Relay.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.random.RandomGenerator;
 import org.landingridge.net.Http;
 import org.landingridge.net.Loop;
 import org.landingridge.wire.Json;
@@ -23,12 +24,17 @@
     private final Map<Long, Http.Exchange> waiting = new HashMap<>();
     private String heardHost;
     private long heardAt = Long.MIN_VALUE / 2;
+    /**
+     * Of the report carried last. Each life begins somewhere else: a process that is back within a fraction of a second may
+     * get the answer to a report that its former life carried, and would hand one machine's commands to another.
+     */
     private long number;
 
-    public Relay(Loop loop, PeerNet net, String host) {
+    public Relay(Loop loop, PeerNet net, RandomGenerator random, String host) {
         this.loop = loop;
         this.net = net;
         this.host = host;
+        this.number = random.nextLong();
     }
 
     /** A sign of life of the leader. */
--- a/controller/src/main/java/org/landingridge/controller/reign/Expectations.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Expectations.java
@@ -124,6 +124,9 @@
         long submitted = now + job.submittedAt() - timeOfDay;
         group.startBy = submitted;
         if (within == null) {
+            // Nobody has said by when: dear machines are not for it, unless the cheap ones do not come for long.
+            group.unhurried = !spec.service();
+            group.patient = group.unhurried;
             return;
         }
         group.due = submitted + Math.round(within * 1000);
--- a/controller/src/main/java/org/landingridge/controller/reign/Pass.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Pass.java
@@ -78,7 +78,11 @@
                 continue;
             }
             int placeable = fleet.placeable(job);
-            Group group = new Group(job.spec(), job, job.job().created(), team, job.notBefore() <= now ? placeable : 0);
+            boolean broken = job.health() == LiveJob.Health.BROKEN;
+            int most = broken ? job.count(Task.State.ON_MACHINE) == 0 ? 1 : 0 : placeable;
+            Group group = new Group(job.spec(), job, job.job().created(), team,
+                    job.notBefore() <= now ? Math.min(placeable, most) : 0);
+            group.probing = broken;
             group.held = job.count(Task.State.PENDING) - placeable;
             expectations.fill(group, job.job(), now, parts.loop().timeOfDay());
             groups.put(job.id(), group);
@@ -134,6 +138,12 @@
             }
         }
         Map<String, Long> closed = new HashMap<>(noCapacityUntil);
+        for (Machine m : fleet.machines()) {
+            // Where machines boot late together, more of them would come as late: others are asked first.
+            if (fleet.lateWithAll(m, now)) {
+                closed.put(Scheduler.pool(m.kind().name(), m.zone(), m.spot()), now + 1);
+            }
+        }
         silent.forEach((zone, more) -> {
             if (more > 0) {
                 for (String type : parts.types().keySet()) {
@@ -210,7 +220,7 @@
         }
         for (Node.Running r : plan.stops) {
             Attempt a = (Attempt) r.attempt;
-            fleet.stop(a, a.spec().checkpointS() > 0 ? a.spec().saveS() : 0);
+            fleet.stop(a, a.spec().checkpointS() > 0 && !r.atOnce ? a.spec().saveS() : 0);
         }
         plan.vacated.forEach(n -> fleet.drain((Machine) n.machine));
         fleet.flush();
--- a/controller/src/main/java/org/landingridge/controller/sched/Group.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Group.java
@@ -27,6 +27,10 @@
     public long startBy;
     /** True if jobs of this class could mostly wait for some boots and still be in time. */
     public boolean patient;
+    /** True for a job that fails wherever it is tried: it takes what room there is for a task, and asks for none. */
+    public boolean probing;
+    /** True for a job that ends and of which nobody has said by when. */
+    public boolean unhurried;
     /**
      * 0 while the job can still be over in time; more if it cannot and steps behind those that can. Among
      * equals the first come is served first.
--- a/controller/src/main/java/org/landingridge/controller/sched/Node.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Node.java
@@ -17,6 +17,8 @@
         public final long startedAt;
         /** Already told to stop: its room comes free by itself. */
         public boolean stopping;
+        /** Stopped for work that cannot wait until it has saved: what it did since its last checkpoint is done again. */
+        public boolean atOnce;
         /** How long it has run, in seconds; 0 until it runs. */
         public double ranS;
         /** How much longer it is expected to run, in seconds. */
--- a/controller/src/main/java/org/landingridge/controller/sched/Renting.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Renting.java
@@ -25,6 +25,8 @@
     private static final double WAIT_SHARE = 0.8;
     /** Work that is late all the same is to be taken up within so many seconds of a machine's boot. */
     private static final double LATE_S = 60;
+    /** Work of which nobody has said by when is to have been taken up within so many seconds. */
+    private static final double UNHURRIED_S = 600;
     /** No sum is made over less time than this, in seconds: it would ask for a fleet for one job. */
     private static final double LEAST_S = 15;
     private final Scheduler.Input in;
@@ -148,11 +150,13 @@
         for (Group g : order) {
             int waiting = g.waiting + within.getOrDefault(g, 0) + beyond.getOrDefault(g, 0);
             work += waiting * g.runS * g.spec.cpus();
-            if (waiting == 0 || !Scheduler.expected(g)) {
+            if (waiting == 0 || !g.unhurried && !Scheduler.expected(g)) {
                 continue;
             }
             double left = (g.startBy - in.now()) / 1000.0;
-            if (left < bootS) {
+            if (g.unhurried) {
+                left = Math.max(bootS + UNHURRIED_S / 2, left + UNHURRIED_S);
+            } else if (left < bootS) {
                 left = Math.max(bootS + LATE_S, (g.lastDue - in.now()) / 1000.0 - g.lastS);
             }
             double behind = work - processors * left * WAIT_SHARE;
--- a/controller/src/main/java/org/landingridge/controller/sched/Scheduler.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Scheduler.java
@@ -36,6 +36,10 @@
         }
     }
 
+    /** Of the time within which a task should start, so much may pass while another one saves. */
+    private static final double WAIT_FOR_SAVE = 0.4;
+    /** More work than this, in seconds of its run, is not thrown away for a task that starts in time. */
+    private static final double MOST_LOST_S = 60;
     private static final Comparator<Group> FIRST_COME =
             Comparator.comparing((Group g) -> g.spec.priority()).reversed().thenComparingLong(g -> g.order);
     static final Comparator<Group> URGENT = Comparator.comparing((Group g) -> g.spec.priority()).reversed()
@@ -218,7 +222,7 @@
             boolean slow = node != null && !timely(g, node);
             // A free machine that must fetch the image first is too slow where a start is expected sooner: then room
             // is made on one that has it.
-            Node made = node == null || slow ? makeRoom(g, guaranteed, slow, roomCanBeMade) : null;
+            Node made = (node == null || slow) && !g.probing ? makeRoom(g, guaranteed, slow, roomCanBeMade) : null;
             if (made != null) {
                 node = made;
                 node.soonCpus -= g.spec.cpus();
@@ -236,8 +240,10 @@
             } else {
                 // The tasks of a group are alike: where one finds no room, the others find none either. Room on
                 // machines that are still to come is sought by the renting round, for all at once.
-                unplaced.merge(g, within, Integer::sum);
-                plan.unplaced += within;
+                if (!g.probing) {
+                    unplaced.merge(g, within, Integer::sum);
+                    plan.unplaced += within;
+                }
                 team.add(g.spec, within);
                 g.waiting -= within;
                 continue;
@@ -382,6 +388,8 @@
         if (best != null) {
             for (Node.Running r : bestVictims) {
                 r.stopping = true;
+                r.atOnce = g.startWithinS > 0 && r.spec.saveS() > g.startWithinS * WAIT_FOR_SAVE
+                        && Math.min(r.ranS, r.spec.checkpointS()) < MOST_LOST_S;
                 in.teams.get(r.team).stopping(r.spec);
                 best.soonCpus += r.spec.cpus();
                 best.soonGpus += r.spec.gpus();
--- /dev/null
+++ b/controller/src/test/java/org/landingridge/controller/peer/RelayTest.java
@@ -0,0 +1,82 @@
+package org.landingridge.controller.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+import org.landingridge.net.Http;
+import org.landingridge.net.Loop;
+
+class RelayTest {
+    /** A clock that stands; nothing that is put off ever happens. */
+    private static final Loop LOOP = new Loop() {
+        @Override
+        public long now() {
+            return 1_000;
+        }
+
+        @Override
+        public long nanos() {
+            return 0;
+        }
+
+        @Override
+        public long timeOfDay() {
+            return 0;
+        }
+
+        @Override
+        public Timer after(long millis, Runnable task) {
+            return () -> { };
+        }
+    };
+
+    private final List<Message> sent = new ArrayList<>();
+    private final List<String> answers = new ArrayList<>();
+
+    private Relay life(long seed) {
+        Relay relay = new Relay(LOOP, (host, message) -> sent.add(message), new SplittableRandom(seed), "rig-1");
+        relay.heard("rig-0");
+        return relay;
+    }
+
+    private Http.Exchange report(String machine) {
+        return new Http.Exchange() {
+            @Override
+            public String method() {
+                return "POST";
+            }
+
+            @Override
+            public String path() {
+                return "/hello";
+            }
+
+            @Override
+            public byte[] body() {
+                return machine.getBytes();
+            }
+
+            @Override
+            public void answer(int status, byte[] json, int retryAfterS) {
+                answers.add(machine + " gets " + new String(json));
+            }
+        };
+    }
+
+    @Test
+    @DisplayName("an answer to a report that the former life carried is not handed to another machine")
+    void answerForTheFormerLife() {
+        life(1).report("rig-0", report("m-1"));
+        Relay present = life(2);
+        present.report("rig-0", report("m-2"));
+        for (Message m : sent) {
+            Message.Report carried = (Message.Report) m;
+            present.answered(new Message.Answer("rig-0", carried.number(), 200, ("that of " + new String(carried.body())).getBytes()));
+        }
+        assertEquals(List.of("m-2 gets that of m-2"), answers);
+    }
+}
--- a/emulator/src/main/java/org/landingridge/emulator/Sim.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Sim.java
@@ -21,6 +21,7 @@
         public final String name;
         public boolean up = true;
         public int life;
+        private long frozenUntil;
 
         Host(String name) {
             this.name = name;
@@ -52,6 +53,11 @@
             up = false;
             life++;
         }
+
+        /** The host stands still while its clock runs on: what is due meanwhile happens afterwards, in its order. */
+        public void freeze(long forMs) {
+            frozenUntil = now + forMs;
+        }
     }
 
     public final Random random;
@@ -67,6 +73,10 @@
     /** What is sent into a cut is lost instead of held. */
     public boolean dropping;
     private final List<Runnable> held = new ArrayList<>();
+    /** Share of messages of which a copy is delivered again late, by target host; the empty name stands for all. */
+    public final Map<String, Double> copied = new HashMap<>();
+    /** Copies come so much later at most. */
+    public long copiedWithinMs = 30_000;
     /** Share of answers that get lost after the request was carried out, by target host. */
     public final Map<String, Double> lostAnswers = new HashMap<>();
 
@@ -92,7 +102,9 @@
         while (!events.isEmpty() && events.peek().at <= until) {
             Event e = events.poll();
             now = e.at;
-            if (!e.cancelled[0] && e.host.up && e.host.life == e.life) {
+            if (e.host.frozenUntil > now && e.host.life == e.life) {
+                events.add(new Event(e.host.frozenUntil, e.order, e.host, e.life, e.task, e.cancelled));
+            } else if (!e.cancelled[0] && e.host.up && e.host.life == e.life) {
                 e.task.run();
             }
         }
@@ -122,7 +134,13 @@
 
     /** Carries something from one host to another, held while the way is cut. */
     public void deliver(Host from, Host to, Runnable task) {
-        Runnable go = () -> to.after(latency(), task);
+        Runnable go = () -> {
+            to.after(latency(), task);
+            double share = copied.getOrDefault(to.name, copied.getOrDefault("", 0.0));
+            if (share > 0 && random.nextDouble() < share) {
+                to.after(latency() + random.nextLong(copiedWithinMs), task);
+            }
+        };
         if (isCut(from, to)) {
             if (!dropping) {
                 held.add(go);
--- a/experiment/src/main/java/org/landingridge/experiment/World.java
+++ b/experiment/src/main/java/org/landingridge/experiment/World.java
@@ -197,6 +197,17 @@
         });
     }
 
+    /** The machine stops with all that is on it, and is back under its old name and address: its worker begins anew. */
+    void restart(Worker worker, long backAfterMs) {
+        Cloud.Box box = worker.box();
+        killWorker(box.id);
+        users.after(backAfterMs, () -> {
+            if (!box.deleted) {
+                bootWorker(box);
+            }
+        });
+    }
+
     private void everySecond() {
         rules.everySecond();
         users.after(1_000, this::everySecond);
