--- a/controller/src/main/java/org/landingridge/controller/sched/Renting.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Renting.java
@@ -26,7 +26,10 @@
     /** Work that is late all the same is to be taken up within so many seconds of a machine's boot. */
     private static final double LATE_S = 60;
     /** Work of which nobody has said by when is to have been taken up within so many seconds. */
-    private static final double UNHURRIED_S = 600;
+    private static final double UNHURRIED_S = 1_800;
+    /** A job of that sort of which nothing runs so long after it came gets room for some of its tasks all the same. */
+    private static final double FLOOR_S = 60;
+    private static final int FLOOR_TASKS = 4;
     /** No sum is made over less time than this, in seconds: it would ask for a fleet for one job. */
     private static final double LEAST_S = 15;
     private final Scheduler.Input in;
@@ -155,6 +158,9 @@
             }
             double left = (g.startBy - in.now()) / 1000.0;
             if (g.unhurried) {
+                if (left < -FLOOR_S && g.perZone.isEmpty()) {
+                    most = Math.max(most, Math.min(waiting, FLOOR_TASKS) * g.spec.cpus());
+                }
                 left = Math.max(bootS + UNHURRIED_S / 2, left + UNHURRIED_S);
             } else if (left < bootS) {
                 left = Math.max(bootS + LATE_S, (g.lastDue - in.now()) / 1000.0 - g.lastS);
