--- a/controller/src/main/java/org/landingridge/controller/Controller.java
+++ b/controller/src/main/java/org/landingridge/controller/Controller.java
@@ -53,7 +53,7 @@
     private static final long ANNOUNCE_MS = 15_000;
     /** A report waits so long for a leader to be known; the worker gives up after 4 s. */
     private static final long PARK_MS = 1_500;
-    private static final int MAX_PARKED = 400;
+    private static final int MOST_PARKED_BYTES = 8 << 20;
     /** A new leader is heard over {@code back} so soon, or there is no way to it. */
     private static final long HEAR_MS = 1_000;
     private final Loop loop;
@@ -78,6 +78,7 @@
     private final List<String> others;
     private final Relay relay;
     private final Deque<Parked> parked = new ArrayDeque<>();
+    private int parkedBytes;
     private Reign reign;
     private boolean probing;
     private long leaderSince = Long.MIN_VALUE / 2;
@@ -103,7 +104,7 @@
         this.peers = peers;
         others = settings.peers().stream().map(Settings.Peer::host).toList();
         roll = new Roll(client, mirror, loop, settings.host(), others);
-        relay = new Relay(loop, peers, random, settings.host());
+        relay = new Relay(loop, peers, random, settings.host(), mostReports());
         lead = new Leadership(client, mirror, loop, random, Keys.LEADER, settings.host(),
                 Math.round(policy.leaderHoldS() * 1000), others, peers, this);
         GroupWriter writer = new GroupWriter(client, mirror, loop, settings.stateLimits().txnOps(),
@@ -363,10 +364,11 @@
         }
         if (otherLeads()) {
             relay.report(leader(), exchange);
-        } else if (reign == null && parked.size() < MAX_PARKED) {
+        } else if (reign == null && parked.size() < mostReports() && parkedBytes < MOST_PARKED_BYTES) {
             // Sent away, the worker would try the next controller a second later, which may know as little. And sent
             // to a leader that was elected a moment ago, hundreds would all be served by that one processor.
             parked.addLast(new Parked(exchange, loop.now() + PARK_MS));
+            parkedBytes += exchange.body().length;
             if (parked.size() == 1) {
                 loop.after(100, this::settleParked);
             }
@@ -375,6 +377,11 @@
         }
     }
 
+    /** Reports that wait hold a connection each: half of those that there are may. */
+    private int mostReports() {
+        return settings.machine().maxConnections() / 2;
+    }
+
     /** True if another controller leads and reports can be carried, or sent, to it. */
     private boolean otherLeads() {
         String leader = leader();
@@ -396,12 +403,14 @@
         boolean known = reign != null || otherLeads();
         for (int left = parked.size(); left > 0; left--) {
             Parked p = parked.pollFirst();
+            parkedBytes -= p.exchange.body().length;
             if (known) {
                 report(p.exchange);
             } else if (loop.now() >= p.until) {
                 p.exchange.answer(421, Json.bytes(Json.object()));
             } else {
                 parked.addLast(p);
+                parkedBytes += p.exchange.body().length;
             }
         }
         if (!parked.isEmpty()) {
--- a/controller/src/main/java/org/landingridge/controller/peer/Relay.java
+++ b/controller/src/main/java/org/landingridge/controller/peer/Relay.java
@@ -17,11 +17,14 @@
     private static final long FRESH_MS = 2_800;
     /** Less than the 4 s after which the worker gives up. */
     private static final long WAIT_MS = 1_500;
-    private static final int MAX_WAITING = 500;
+    /** Reports that wait may hold so many bytes together. */
+    private static final int MOST_BYTES = 8 << 20;
     private final Loop loop;
     private final PeerNet net;
     private final String host;
     private final Map<Long, Http.Exchange> waiting = new HashMap<>();
+    private final int mostWaiting;
+    private int waitingBytes;
     private String heardHost;
     private long heardAt = Long.MIN_VALUE / 2;
     /**
@@ -30,7 +33,9 @@
      */
     private long number;
 
-    public Relay(Loop loop, PeerNet net, RandomGenerator random, String host) {
+    /** @param mostWaiting reports that may wait for the leader at a time; each holds a connection of its worker */
+    public Relay(Loop loop, PeerNet net, RandomGenerator random, String host, int mostWaiting) {
+        this.mostWaiting = mostWaiting;
         this.loop = loop;
         this.net = net;
         this.host = host;
@@ -50,27 +55,34 @@
 
     /** Answers a report at a controller that does not lead. */
     public void report(String leader, Http.Exchange exchange) {
-        if (!leader.equals(heard()) || waiting.size() >= MAX_WAITING) {
+        if (!leader.equals(heard()) || waiting.size() >= mostWaiting || waitingBytes > MOST_BYTES) {
             redirect(leader, exchange);
             return;
         }
         long mine = ++number;
         waiting.put(mine, exchange);
+        waitingBytes += exchange.body().length;
         net.send(leader, new Message.Report(host, mine, exchange.body()));
         loop.after(WAIT_MS, () -> {
-            if (waiting.remove(mine) != null) {
+            if (taken(mine) != null) {
                 redirect(leader, exchange);
             }
         });
     }
 
+    private Http.Exchange taken(long number) {
+        Http.Exchange exchange = waiting.remove(number);
+        waitingBytes -= exchange == null ? 0 : exchange.body().length;
+        return exchange;
+    }
+
     private static void redirect(String leader, Http.Exchange exchange) {
         exchange.answer(421, Json.bytes(Json.object().put("desk", leader)));
     }
 
     /** The leader's answer. */
     public void answered(Message.Answer answer) {
-        Http.Exchange exchange = waiting.remove(answer.number());
+        Http.Exchange exchange = taken(answer.number());
         if (exchange != null) {
             exchange.answer(answer.status(), answer.body());
         }
--- a/controller/src/main/java/org/landingridge/controller/peer/XnioPeerNet.java
+++ b/controller/src/main/java/org/landingridge/controller/peer/XnioPeerNet.java
@@ -30,7 +30,8 @@
 /** Frames over TCP on {@code back}: four bytes of length, then one record. Each controller dials every other. */
 public final class XnioPeerNet implements PeerNet {
     private static final Logger LOG = LoggerFactory.getLogger(XnioPeerNet.class);
-    private static final int MAX_QUEUE = 200;
+    /** Bytes that may wait for one controller: the reports of a large fleet in the moment of an election. */
+    private static final int MOST_QUEUED = 2 << 20;
     private static final long DIAL_MS = 2_000;
     private final XnioWorker worker;
     private final Loop loop;
@@ -134,6 +135,7 @@
 
         private final InetSocketAddress addr;
         private final Deque<ByteBuffer> queue = new ArrayDeque<>();
+        private long queued;
         private State state = State.DOWN;
         private StreamConnection connection;
         private long dials;
@@ -143,13 +145,13 @@
         }
 
         void send(byte[] record) {
-            if (queue.size() >= MAX_QUEUE) {
-                queue.clear();
+            if (queued > MOST_QUEUED) {
                 drop();
             }
             ByteBuffer frame = ByteBuffer.allocate(4 + record.length);
             frame.putInt(record.length).put(record).flip();
             queue.addLast(frame);
+            queued += frame.remaining();
             if (state == State.UP) {
                 write(connection.getSinkChannel());
             } else if (state == State.DOWN) {
@@ -212,17 +214,22 @@
         private void down(long dial) {
             if (dial == dials && state == State.DIALLING) {
                 state = State.DOWN;
-                queue.clear();
+                forget();
             }
         }
 
+        private void forget() {
+            queue.clear();
+            queued = 0;
+        }
+
         private void drop() {
             IoUtils.safeClose(connection);
             connection = null;
             if (state == State.UP) {
                 state = State.DOWN;
             }
-            queue.clear();
+            forget();
         }
 
         private void write(ConduitStreamSinkChannel sink) {
@@ -230,7 +237,9 @@
                 while (!queue.isEmpty()) {
                     ByteBuffer next = queue.peekFirst();
                     while (next.hasRemaining()) {
-                        if (sink.write(next) == 0) {
+                        int n = sink.write(next);
+                        queued -= n;
+                        if (n == 0) {
                             sink.resumeWrites();
                             return;
                         }
--- a/controller/src/test/java/org/landingridge/controller/peer/RelayTest.java
+++ b/controller/src/test/java/org/landingridge/controller/peer/RelayTest.java
@@ -38,7 +38,7 @@
     private final List<String> answers = new ArrayList<>();
 
     private Relay life(long seed) {
-        Relay relay = new Relay(LOOP, (host, message) -> sent.add(message), new SplittableRandom(seed), "rig-1");
+        Relay relay = new Relay(LOOP, (host, message) -> sent.add(message), new SplittableRandom(seed), "rig-1", 100);
         relay.heard("rig-0");
         return relay;
     }
--- a/emulator/src/main/java/org/landingridge/emulator/Cloud.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Cloud.java
@@ -64,6 +64,8 @@
     public int capacity = 20;
     public boolean trouble;
     public long bootMs;
+    /** Share of the machines rented from now on that never come up. */
+    public double neverUp;
     private int names;
 
     public Cloud(Loop loop, RandomGenerator random, Offer offer, Machines machines, Truth truth) {
@@ -98,8 +100,9 @@
     public Box rent(String zone, boolean spot) {
         Box b = new Box(String.format("m-%06d", names++), zone, spot);
         boxes.put(b.id, b);
+        boolean up = neverUp <= 0 || random.nextDouble() >= neverUp;
         loop.after(bootMs, () -> {
-            if (!b.deleted) {
+            if (up && !b.deleted) {
                 b.addr = machines.boot(b);
             }
         });
--- a/emulator/src/main/java/org/landingridge/emulator/Rules.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Rules.java
@@ -22,6 +22,9 @@
     /** The same by job, and what each team uses: looked up at each start. */
     private final Map<String, Map<String, String>> placesOf = new HashMap<>();
     private final Map<String, Double> used = new HashMap<>();
+    /** Jobs that were submitted with a mistake. */
+    public final Set<String> mistaken = new HashSet<>();
+    private final Map<String, Double> saved = new HashMap<>();
     public final Set<String> completed = new HashSet<>();
     public final Map<String, Double> limits = new HashMap<>();
     /** Told of every order that arrives; null where nobody counts them. */
@@ -46,6 +49,21 @@
         return specs.get(jobId);
     }
 
+    @Override
+    public boolean mistaken(String jobId) {
+        return mistaken.contains(jobId);
+    }
+
+    @Override
+    public double saved(String task) {
+        return saved.getOrDefault(task, 0.0);
+    }
+
+    @Override
+    public void saves(String task, double seconds) {
+        saved.put(task, seconds);
+    }
+
     @Override
     public boolean completed(String task) {
         return completed.contains(task);
--- a/emulator/src/main/java/org/landingridge/emulator/Truth.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Truth.java
@@ -10,6 +10,19 @@
     /** True once the task has completed anywhere: started again, it ends as soon as it has its image. */
     boolean completed(String task);
 
+    /** True for a job that was submitted with a mistake: its tasks fail on every machine. */
+    default boolean mistaken(String jobId) {
+        return false;
+    }
+
+    /** Seconds of its run that a task has saved. */
+    default double saved(String task) {
+        return 0;
+    }
+
+    /** A task that was stopped has saved so many seconds of its run. */
+    default void saves(String task, double seconds) {}
+
     /** A task has its image and begins to run. */
     void starts(String task, String machine, String type, String zone, boolean spot);
 
--- a/emulator/src/main/java/org/landingridge/emulator/Worker.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Worker.java
@@ -22,6 +22,8 @@
         String status = "pulling";
         String why;
         int life;
+        /** When it would have begun to run in one go. */
+        long began;
     }
 
     /** What the worker is told at its start. */
@@ -47,6 +49,7 @@
     private boolean changed;
     private long lastReport = -10_000;
     private boolean hangs;
+    private boolean faulty;
     private final List<Runnable> whileHanging = new ArrayList<>();
 
     public Worker(Config config, Loop loop, Http http, RandomGenerator random, Truth truth, Cloud.Box box) {
@@ -66,6 +69,11 @@
         dead = true;
     }
 
+    /** From now on every task fails here. */
+    public void spoil() {
+        faulty = true;
+    }
+
     public boolean hangs() {
         return hangs;
     }
@@ -216,6 +224,7 @@
                     Run run = tasks.get(name);
                     truth.ordered(Truth.Order.STOP, box.id, name, box.pool(), run == null || run.status.equals("ended"));
                     if (run != null && !run.status.equals("ended")) {
+                        save(name, run, c.path("wrapupS").doubleValue());
                         over(name, run, "halted");
                     }
                 }
@@ -263,8 +272,12 @@
             run.status = "running";
             changed = true;
             truth.starts(task, box.id, config.type, box.zone, box.spot);
-            if (!spec.service()) {
-                long takes = truth.completed(task) ? 10 : Math.round(spec.estimateS() * 1000);
+            if (faulty || truth.mistaken(spec.id())) {
+                later(name, run, life, 200, () -> over(name, run, "error"));
+            } else if (!spec.service()) {
+                run.began = loop.now() - Math.round(truth.saved(task) * 1000);
+                long takes = truth.completed(task) ? 10
+                        : Math.max(10, Math.round(spec.estimateS() * 1000) - (loop.now() - run.began));
                 later(name, run, life, takes, () -> over(name, run, "done"));
             }
         });
@@ -287,6 +300,16 @@
         });
     }
 
+    /** It saves at once if it is given the time; else what it saved by itself is left. */
+    private void save(String name, Run run, double graceS) {
+        String task = name.substring(0, name.lastIndexOf('#'));
+        JobSpec spec = truth.spec(task.substring(0, task.lastIndexOf('/')));
+        if (spec != null && spec.checkpointS() > 0 && run.status.equals("running")) {
+            double ran = (loop.now() - run.began) / 1000.0;
+            truth.saves(task, graceS >= spec.saveS() ? ran : Math.floor(ran / spec.checkpointS()) * spec.checkpointS());
+        }
+    }
+
     private void over(String name, Run run, String why) {
         if (run.status.equals("running")) {
             truth.ends(name.substring(0, name.lastIndexOf('#')), "done".equals(why));
--- a/experiment/src/main/java/org/landingridge/experiment/Experiment.java
+++ b/experiment/src/main/java/org/landingridge/experiment/Experiment.java
@@ -17,6 +17,7 @@
 import java.util.stream.Collectors;
 import org.landingridge.controller.config.BadSettings;
 import org.landingridge.controller.config.Settings;
+import org.landingridge.wire.Priority;
 
 /**
  * What is to be played, read from a TOML file that {@code experiment.schema.json} describes.
@@ -30,14 +31,16 @@
 
     /** A class of jobs: so many at the start, and then by chance so many a minute. */
     public record Arrivals(String jobClass, String team, boolean service, int tasksMin, int tasksMax, double cpus,
-            double runS, double perMinute, int initial, double untilS) {}
+            double runS, double perMinute, int initial, double fromS, double untilS, Priority priority, double checkpointS,
+            double mistaken, double cancelled) {}
 
     /** Something that goes wrong. */
     public record Fault(double atS, Kind kind, double forS, int count, double share) {
         public enum Kind {
             CRASH_LEADER, CRASH_ALL, STATE_OUTAGE, CUT_LEADER_STATE, CUT_LEADER_WORKERS, HANG_MACHINES, LOSE_MACHINES, LOSE_ZONE,
             CUT_ZONE,
-            LOST_ANSWERS
+            LOST_ANSWERS, FREEZE_LEADER, FREEZE_ALL, REFUSE_LEADER_STATE, CUT_LEADER_PEERS, RESTART_MACHINES, BOOT_TROUBLE,
+            POLL_STORM, COPIES
         }
     }
 
@@ -80,7 +83,10 @@
                     a.path("service").asBoolean(false), a.path("tasks_min").asInt(1),
                     a.path("tasks_max").asInt(Math.max(1, a.path("tasks_min").asInt(1))), a.path("cpus").asDouble(1),
                     a.path("run_s").asDouble(10), a.path("per_minute").asDouble(0), a.path("initial").asInt(0),
-                    a.path("until_s").asDouble(Double.MAX_VALUE));
+                    a.path("from_s").asDouble(0), a.path("until_s").asDouble(Double.MAX_VALUE),
+                    a.has("priority") ? Priority.of(a.get("priority").textValue())
+                            : a.path("service").asBoolean(false) ? Priority.HIGH : Priority.NORMAL,
+                    a.path("checkpoint_s").asDouble(0), a.path("mistaken").asDouble(0), a.path("cancelled").asDouble(0));
             if (!teams.containsKey(made.team)) {
                 throw new BadSettings(at + ".team: expected a team of this file, got " + made.team);
             }
--- a/experiment/src/main/java/org/landingridge/experiment/ExperimentCommand.java
+++ b/experiment/src/main/java/org/landingridge/experiment/ExperimentCommand.java
@@ -16,7 +16,7 @@
 /** Plays an experiment with each of its seeds, and writes a report. */
 @Command(name = "experiment", mixinStandardHelpOptions = true,
         description = "Play the real core among stand-ins in simulated time, check every rule, write a report.",
-        footer = {"", "Exit codes: 0 no rule broken, 1 a rule was broken, 2 bad usage or file."})
+        footer = {"", "Exit codes: 0 no rule broken and everything served, 1 a rule was broken or less than half of a class served, 2 bad usage or file."})
 public final class ExperimentCommand implements Callable<Integer> {
     @Parameters(paramLabel = "FILE", description = "the experiment (TOML)")
     private Path file;
@@ -54,6 +54,8 @@
             System.out.printf("  %d submissions accepted, %d later than a second, %d of these with everything up; %.1f s"
                     + " without state service or controllers%n", o.admissions().accepted(), o.admissions().late(),
                     o.admissions().lateInSpite(), o.admissions().closedS());
+            o.served().forEach(s -> System.out.printf("  %s %s: %d jobs asked, %.3f served%n", s.unserved() ? "UNSERVED" : "served",
+                    s.name(), s.asked(), s.served()));
             System.out.println("  leaders' threads, ms: " + o.busyMs());
         }
         if (events != null) {
@@ -67,6 +69,7 @@
             Report.write(report, plan, outcomes);
             System.out.println("report: " + report);
         }
-        return outcomes.stream().allMatch(o -> o.broken().isEmpty()) ? 0 : 1;
+        return outcomes.stream().allMatch(o -> o.broken().isEmpty()
+                && o.served().stream().noneMatch(Served.Figure::unserved)) ? 0 : 1;
     }
 }
--- a/experiment/src/main/java/org/landingridge/experiment/Play.java
+++ b/experiment/src/main/java/org/landingridge/experiment/Play.java
@@ -25,7 +25,7 @@
      */
     record Outcome(long seed, List<String> broken, int submitted, int done, int cancelled, int repeats, int refused,
             List<Sample> samples, List<Recovery.Result> recoveries, Map<Truth.Order, OrderBook.Count> orders,
-            List<World.Told> events, Admissions.Result admissions, Map<String, Long> busyMs,
+            List<World.Told> events, Admissions.Result admissions, List<Served.Figure> served, Map<String, Long> busyMs,
             int requests, int mostWrites, long leaderKb, double tookS) {}
 
     private static final int FIRST = 100_000;
@@ -35,9 +35,12 @@
     private final List<Sample> samples = new ArrayList<>();
     private final List<Recovery> recoveries = new ArrayList<>();
     private final OrderBook orders;
+    private final Served served = new Served();
     private final Map<String, Long> busy = new TreeMap<>();
     /** By process: what its thread has spent. */
     private final Map<Object, Map<String, Long>> busyOf = new LinkedHashMap<>();
+    /** Of all jobs of the play, in the order of their making. */
+    private final List<String> ids = new ArrayList<>();
     private int number;
     private int submitted;
     private int requestsBefore;
@@ -85,17 +88,18 @@
         long leaderKb = leaderKb();
         return new Outcome(seed, List.copyOf(world.rules.broken), submitted, (int) world.over("done"),
                 (int) world.over("cancelled"), world.rules.repeats, world.state.tooMany, samples, recoveries.stream().map(Recovery::result).toList(), orders.counts(),
-                List.copyOf(world.events), world.admissions.result(), busy,
+                List.copyOf(world.events), world.admissions.result(), served.figures(world.rules, plan.durationS(),
+                        4.0 * plan.machines() * 2), busy,
                 world.state.requests(), world.state.mostWrites, leaderKb, (System.nanoTime() - began) / 1e9);
     }
 
     private void arrive(Experiment.Arrivals a) {
         for (int i = 0; i < a.initial(); i++) {
-            submit(a, random.nextInt(1_000));
+            submit(a, Math.round(a.fromS() * 1_000) + random.nextInt(1_000));
         }
         if (a.perMinute() > 0) {
             double meanMs = 60_000 / a.perMinute();
-            for (double t = 0; t < Math.min(a.untilS(), plan.durationS()) * 1000;) {
+            for (double t = a.fromS() * 1_000; t < Math.min(a.untilS(), plan.durationS()) * 1000;) {
                 t += -Math.log(1 - random.nextDouble()) * meanMs;
                 submit(a, Math.round(t));
             }
@@ -103,11 +107,18 @@
     }
 
     private void submit(Experiment.Arrivals a, long atMs) {
-        JobSpec spec = new JobSpec(World.id(number++), a.jobClass(), a.team(), a.service(),
-                a.service() ? Priority.HIGH : Priority.NORMAL,
+        JobSpec spec = new JobSpec(World.id(number++), a.jobClass(), a.team(), a.service(), a.priority(),
                 a.tasksMin() + random.nextInt(a.tasksMax() - a.tasksMin() + 1), a.cpus(), 0, a.cpus(),
                 "img-" + random.nextInt(4), 0.3, null, null, false, false, !a.service(),
-                a.service() ? 0 : a.runS() * (0.5 + random.nextDouble()), 0, 0, null);
+                a.service() ? 0 : a.runS() * (0.5 + random.nextDouble()), a.checkpointS(), 0, null);
+        if (a.mistaken() > 0 && random.nextDouble() < a.mistaken()) {
+            world.rules.mistaken.add(spec.id());
+        }
+        if (a.cancelled() > 0 && random.nextDouble() < a.cancelled()) {
+            world.at(atMs + 5_000 + random.nextInt(60_000), () -> world.cancel(spec.id()));
+        }
+        ids.add(spec.id());
+        served.asked(spec, atMs / 1_000.0);
         submitted++;
         world.at(atMs, () -> world.submit(spec));
     }
@@ -152,6 +163,34 @@
                 world.at(world.sim.now + forMs, () -> w.hang(false));
             });
             case LOSE_MACHINES -> some(f.count()).forEach(w -> world.cloud.delete(w.box().id));
+            case FREEZE_LEADER -> {
+                if (leader != null) {
+                    leader.host.freeze(forMs);
+                }
+            }
+            case FREEZE_ALL -> world.nodes.forEach(n -> n.host.freeze(forMs));
+            case REFUSE_LEADER_STATE -> {
+                if (leader != null) {
+                    world.state.refused.add(leader.host.name);
+                    world.at(world.sim.now + forMs, () -> world.state.refused.remove(leader.host.name));
+                }
+            }
+            case CUT_LEADER_PEERS -> {
+                if (leader != null) {
+                    world.nodes.stream().filter(n -> n != leader).forEach(n -> world.sim.cut(leader.host.name, n.host.name));
+                    world.at(world.sim.now + forMs, world.sim::heal);
+                }
+            }
+            case RESTART_MACHINES -> some(f.count()).forEach(w -> world.restart(w, forMs));
+            case BOOT_TROUBLE -> {
+                world.cloud.neverUp = f.share();
+                world.at(world.sim.now + forMs, () -> world.cloud.neverUp = 0);
+            }
+            case POLL_STORM -> storm(f.count(), world.sim.now + forMs);
+            case COPIES -> {
+                world.sim.copied.put("", f.share());
+                world.at(world.sim.now + forMs, () -> world.sim.copied.remove(""));
+            }
             case LOST_ANSWERS -> {
                 world.sim.lostAnswers.put("state", f.share());
                 world.at(world.sim.now + forMs, () -> world.sim.lostAnswers.remove("state"));
@@ -159,6 +198,18 @@
         }
     }
 
+    /** Users ask about jobs so many times a second, a tenth of the time about jobs that nobody submitted. */
+    private void storm(int perS, long until) {
+        if (world.sim.now >= until || ids.isEmpty()) {
+            return;
+        }
+        for (int i = 0; i < perS / 10.0; i++) {
+            world.askOnce(random.nextInt(10) == 0 ? World.id(FIRST / 2 + random.nextInt(FIRST / 4))
+                    : ids.get(random.nextInt(ids.size())), "poll");
+        }
+        world.at(world.sim.now + 100, () -> storm(perS, until));
+    }
+
     /** The machines of one zone. */
     private List<Worker> zone() {
         return world.workers.stream().filter(w -> w.box().zone.equals("b")).toList();
--- a/experiment/src/main/java/org/landingridge/experiment/Report.java
+++ b/experiment/src/main/java/org/landingridge/experiment/Report.java
@@ -38,6 +38,8 @@
         context.put("orders", outcomes.stream().flatMap(o -> o.orders().values().stream().map(c -> Map.of("seed", o.seed(),
                 "order", c.order().name().toLowerCase(Locale.ROOT).replace('_', ' '), "sum", c.sum(), "busiest", c.busiest(), "at", c.busiestAtS(),
                 "needless", c.needless()))).toList());
+        context.put("served", outcomes.stream().flatMap(o -> o.served().stream().map(s -> Map.of("seed", o.seed(), "name", s.name(),
+                "asked", s.asked(), "served", String.format(Locale.ROOT, "%.3f", s.served()), "unserved", s.unserved()))).toList());
         context.put("broken", outcomes.stream().flatMap(o -> o.broken().stream().map(b -> o.seed() + ": " + b)).toList());
         context.put("busy", busy(plan, outcomes));
         List<Map<String, String>> charts = new ArrayList<>();
--- /dev/null
+++ b/experiment/src/test/java/org/landingridge/experiment/BadNightsTest.java
@@ -0,0 +1,133 @@
+package org.landingridge.experiment;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.landingridge.controller.config.Settings;
+import org.landingridge.emulator.Truth;
+import org.landingridge.emulator.Worker;
+
+/** Jobs with a mistake, faulty machines, machines that come up late or never: whose fault it is, and what it costs. */
+class BadNightsTest {
+    private final Map<String, Integer> starts = new HashMap<>();
+    private int rented;
+    private int givenBack;
+
+    private World world(long seed) {
+        World w = new World(new World.Setup(seed, 3, 40, 5_000, 2_000, 20_000, Map.of("blue",
+                new Settings.Team("blue", 16, 0, 0, 0), "red", new Settings.Team("red", 8, 0, 0, 0)),
+                new Settings.State(200, 20, 4, 8)));
+        w.rules.orders = (order, machine, attempt, pool, repeated) -> {
+            if (order == Truth.Order.START && !repeated) {
+                starts.merge(attempt.substring(0, attempt.indexOf('/')), 1, Integer::sum);
+            }
+            rented += order == Truth.Order.RENT && !repeated ? 1 : 0;
+            givenBack += order == Truth.Order.GIVE_BACK && !repeated ? 1 : 0;
+        };
+        return w;
+    }
+
+    private static void kept(World w) {
+        assertEquals(List.of(), w.rules.broken);
+        assertEquals(0, w.state.tooLarge);
+    }
+
+    private static void services(World w) {
+        for (int i = 0; i < 6; i++) {
+            w.submit(World.job(i, "blue", true, 1, 2, 0));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    @DisplayName("jobs with a mistake cost no sound machine and no sound job anything, until they are cancelled")
+    void mistakes(long seed) {
+        World w = world(500 + seed);
+        services(w);
+        w.sim.run(20_000);
+        for (int i = 0; i < 4; i++) {
+            int n = 10 + i;
+            w.rules.mistaken.add(World.id(n));
+            w.at(20_000 + i * 5_000L, () -> w.submit(World.job(n, "red", false, 30, 1, 5)));
+        }
+        for (int i = 0; i < 20; i++) {
+            int n = 20 + i;
+            w.at(22_000 + i * 3_000L, () -> w.submit(World.job(n, "blue", false, 4, 1, 4)));
+        }
+        w.sim.run(110_000);
+        assertEquals(0, w.rules.told.entrySet().stream().filter(e -> w.rules.mistaken.contains(e.getKey())
+                && !e.getValue().equals("accepted")).count(), "nothing is called over that its user has not cancelled");
+        assertEquals(20, w.over("done"));
+        for (String id : w.rules.mistaken) {
+            // Each of its 30 tasks may be under way before the first two have failed; then one at a time, ever less often.
+            assertTrue(starts.get(id) <= 30 + 12, id + " was started " + starts.get(id) + " times");
+            w.cancel(id);
+        }
+        assertTrue(w.status(w.leader()).path("incidents").toString().contains("looks like a mistake"));
+        assertTrue(!w.status(w.leader()).path("incidents").toString().contains("fails its tasks"), "no sound machine goes back");
+        starts.clear();
+        w.sim.run(140_000);
+        assertEquals(4, w.over("cancelled"));
+        assertEquals(Map.of(), starts);
+        kept(w);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    @DisplayName("a faulty machine is found beside jobs with a mistake, and goes back")
+    void aFaultyMachine(long seed) {
+        World w = world(510 + seed);
+        services(w);
+        w.sim.run(20_000);
+        Worker faulty = w.workers.get(w.workers.size() - 1);
+        faulty.spoil();
+        for (int i = 0; i < 30; i++) {
+            int n = 20 + i;
+            if (i % 6 == 0) {
+                w.rules.mistaken.add(World.id(n));
+            }
+            w.at(20_000 + i * 2_000L, () -> w.submit(World.job(n, "blue", false, 8, 1, 4)));
+        }
+        w.sim.run(130_000);
+        assertEquals(25, w.over("done"));
+        assertTrue(faulty.box().deleted, "it went back");
+        kept(w);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    @DisplayName("machines that never come up are replaced once their like are up, without a rent for each wait")
+    void neverUp(long seed) {
+        World w = world(520 + seed);
+        w.cloud.neverUp = 0.3;
+        for (int i = 0; i < 20; i++) {
+            w.submit(World.job(i, "blue", true, 1, 4, 0));
+        }
+        w.sim.run(30_000);
+        assertTrue(w.rules.places.size() >= 18, "only " + w.rules.places.size() + " of 20 run after four boots");
+        w.sim.run(90_000);
+        assertEquals(20, w.rules.places.size());
+        assertTrue(rented <= 60, rented + " rented for 20");
+        kept(w);
+    }
+
+    @Test
+    @DisplayName("a machine that reports before its rent is answered and before any list names it is used at once")
+    void upInNoTime() {
+        World w = world(530);
+        w.cloud.bootMs = 1;
+        for (int i = 0; i < 8; i++) {
+            w.submit(World.job(i, "blue", true, 1, 4, 0));
+        }
+        w.sim.run(6_000);
+        assertEquals(8, w.rules.places.size());
+        kept(w);
+    }
+}
--- a/experiment/src/test/java/org/landingridge/experiment/QuickReturnTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/QuickReturnTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.landingridge.controller.config.Settings;
 import org.landingridge.controller.peer.Message;
+import org.landingridge.emulator.Truth;
 import org.landingridge.emulator.Worker;
 
 /** Processes and machines that are back within a fraction of a second, late copies of what was sent, pauses. */
@@ -214,10 +215,13 @@
         World w = world(450, 3);
         services(w, 12);
         int starts = w.rules.starts;
+        int[] asked = new int[1];
+        w.rules.orders = (order, machine, attempt, pool, repeated) -> asked[0] += order == Truth.Order.CALL ? 1 : 0;
         for (int i = 0; i < 6; i++) {
-            w.at(31_000 + i * 6_000L, () -> w.leader().host.freeze(1_800));
+            w.at(31_000 + i * 6_000L, () -> w.leader().host.freeze(2_300));
         }
         w.sim.run(80_000);
+        assertEquals(0, asked[0], "machines that were asked for a silence that was the leader's own");
         kept(w);
         assertEquals(starts, w.rules.starts, "nothing was run again");
         assertEquals(0, w.metric(w.leader(), "landingridge_settled"));
