--- a/experiment/src/test/java/org/landingridge/experiment/ExperimentTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/ExperimentTest.java
@@ -13,7 +13,10 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.landingridge.controller.config.BadSettings;
+import org.landingridge.emulator.Rules;
+import org.landingridge.emulator.Sim;
 
 class ExperimentTest {
     private static final String GOOD = """
@@ -107,4 +110,34 @@
         assertTrue(o.admissions().late() > 0, o.admissions().toString());
         assertEquals(0, o.admissions().lateInSpite(), o.admissions().toString());
     }
+
+    /** With a seed that the files themselves do not play. */
+    @ParameterizedTest
+    @ValueSource(strings = {"bad-nights", "wide-fleet"})
+    void badNightsAndTheWideFleetKeepEveryRuleAndServeEverybody(String name) throws BadSettings {
+        Play.Outcome o = Play.once(Experiment.read(Path.of("..", "deploy", "experiments", name + ".toml")), 7);
+        assertEquals(List.of(), o.broken());
+        assertTrue(o.served().size() >= 6, o.served().toString());
+        o.served().forEach(f -> assertTrue(f.served() > 0.9, f.toString()));
+    }
+
+    /** Unserved is what gets less than half where the plain model gives more; what came too late does not count. */
+    @Test
+    void whoIsNotServedIsTold() {
+        Rules rules = new Rules(new Sim(1).host("users"), 1_000);
+        Served served = new Served();
+        for (int i = 0; i < 4; i++) {
+            served.asked(World.job(i, "red", true, 2, 1, 0), 10);
+            served.asked(World.job(10 + i, "blue", false, 2, 1, 20), 10 + i * 60);
+        }
+        rules.places.put("job-000000/0", "m@a");
+        rules.completed.add("job-000010/0");
+        rules.completed.add("job-000010/1");
+        List<Served.Figure> figures = served.figures(rules, 200, 100);
+        assertEquals(List.of(new Served.Figure("batch", 2, 0.5, 1), new Served.Figure("live", 4, 0.125, 1),
+                new Served.Figure("team blue", 2, 0.5, 1), new Served.Figure("team red", 4, 0.125, 1)), figures);
+        assertEquals(List.of(false, true, false, true), figures.stream().map(Served.Figure::unserved).toList());
+        assertEquals(List.of(false, false, false, false), served.figures(rules, 200, 3).stream().map(Served.Figure::unserved).toList(),
+                "with three processors nobody could serve half of it");
+    }
 }
