--- a/controller/src/main/java/org/landingridge/controller/sched/Scheduler.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Scheduler.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import org.landingridge.wire.JobSpec;
 import org.landingridge.wire.MachineType;
 import org.landingridge.wire.Priority;
@@ -49,6 +51,10 @@
     private final Plan plan = new Plan();
     /** Nodes that may still take tasks now: full ones need not be looked at for every group. */
     private final List<Node> roomy = new ArrayList<>();
+    /** Nodes on which room comes free, since something is stopping there. */
+    private final Set<Node> freeing = new LinkedHashSet<>();
+    /** Nodes on which anything could be stopped at all. */
+    private final List<Node> stoppable = new ArrayList<>();
     /** The least priority of work that could be stopped: nothing is sought for groups that may not stop it. */
     private Priority least;
 
@@ -70,10 +76,18 @@
             if (n.up && n.roomy()) {
                 roomy.add(n);
             }
+            boolean some = false;
             for (Node.Running r : n.running) {
                 if (n.up && r.spec != null && (least == null || r.spec.priority().compareTo(least) < 0)) {
                     least = r.spec.priority();
                 }
+                if (n.up && r.stopping) {
+                    freeing.add(n);
+                }
+                some |= !r.stopping && r.spec != null;
+            }
+            if (n.up && some) {
+                stoppable.add(n);
             }
         }
         List<Group> order = new ArrayList<>();
@@ -208,7 +222,7 @@
     private boolean place(Group g, boolean guaranteed, Map<Group, Integer> unplaced) {
         Team team = in.teams.get(g.team);
         PriorityQueue<Candidate> fitting = null;
-        boolean roomCanBeMade = mayStopAny(g, guaranteed);
+        Victims victims = mayStopAny(g, guaranteed) ? new Victims(g, guaranteed) : null;
         while (g.waiting > 0) {
             int within = team.more(g.spec, guaranteed, g.waiting);
             if (within == 0) {
@@ -222,7 +236,7 @@
             boolean slow = node != null && !timely(g, node);
             // A free machine that must fetch the image first is too slow where a start is expected sooner: then room
             // is made on one that has it.
-            Node made = (node == null || slow) && !g.probing ? makeRoom(g, guaranteed, slow, roomCanBeMade) : null;
+            Node made = (node == null || slow) && !g.probing ? makeRoom(g, slow, victims) : null;
             if (made != null) {
                 node = made;
                 node.soonCpus -= g.spec.cpus();
@@ -314,30 +328,85 @@
         return false;
     }
 
-    private Node makeRoom(Group g, boolean guaranteed, boolean onlyTimely, boolean mayStop) {
+    private Node makeRoom(Group g, boolean onlyTimely, Victims victims) {
         Node node = soon(g, onlyTimely);
-        return node != null || !mayStop ? node : preempt(g, guaranteed, onlyTimely);
+        return node != null || victims == null ? node : victims.stop(onlyTimely);
     }
 
     private Node soon(Group g, boolean onlyTimely) {
-        plan.steps += in.nodes.size();
-        for (Node n : in.nodes) {
-            if (n.up && n.fitsSoon(g.spec) && !n.fits(g.spec) && n.allows(g) && (!onlyTimely || timely(g, n))) {
+        plan.steps += freeing.size();
+        for (Node n : freeing) {
+            if (n.fitsSoon(g.spec) && !n.fits(g.spec) && n.allows(g) && (!onlyTimely || timely(g, n))) {
                 return n;
             }
         }
         return null;
     }
 
-    /** Stops work of lower priority, or work beyond another team's guarantee, where that makes room. */
-    private Node preempt(Group g, boolean guaranteed, boolean onlyTimely) {
-        plan.steps += in.nodes.size();
-        Node best = null;
-        List<Node.Running> bestVictims = null;
-        double bestCost = Double.MAX_VALUE;
-        for (Node n : in.nodes) {
-            if (!n.up || !n.allows(g) || onlyTimely && !timely(g, n)) {
-                continue;
+    /** What would have to be stopped on a node for one task; the least cost goes first, then the first in the input. */
+    private record Choice(double cost, int index, Node node, List<Node.Running> tasks) implements Comparable<Choice> {
+        @Override
+        public int compareTo(Choice other) {
+            int byCost = Double.compare(cost, other.cost);
+            return byCost != 0 ? byCost : Integer.compare(index, other.index);
+        }
+    }
+
+    /**
+     * Work of lower priority, or beyond another team's guarantee, that may be stopped for a group's tasks. Its tasks are
+     * alike: each node is judged once, and again only when its turn comes, since what a team can spare shrinks with every stop.
+     */
+    private final class Victims {
+        private static final double UNTIMELY = 1e9;
+        private final Group g;
+        private final boolean guaranteed;
+        private PriorityQueue<Choice> choices;
+
+        Victims(Group g, boolean guaranteed) {
+            this.g = g;
+            this.guaranteed = guaranteed;
+        }
+
+        /** Stops what costs least; the node on which that makes room for one task, or null. */
+        Node stop(boolean onlyTimely) {
+            if (choices == null) {
+                choices = new PriorityQueue<>();
+                plan.steps += stoppable.size();
+                for (int i = 0; i < stoppable.size(); i++) {
+                    add(i, stoppable.get(i));
+                }
+            }
+            while (!choices.isEmpty()) {
+                if (onlyTimely && choices.peek().cost >= UNTIMELY) {
+                    return null;
+                }
+                Choice old = choices.poll();
+                plan.steps++;
+                Choice now = choice(old.index, old.node);
+                if (now == null) {
+                    continue;
+                }
+                if (now.cost > old.cost) {
+                    choices.add(now);
+                    continue;
+                }
+                carryOut(now);
+                add(now.index, now.node);
+                return now.node;
+            }
+            return null;
+        }
+
+        private void add(int index, Node n) {
+            Choice c = choice(index, n);
+            if (c != null) {
+                choices.add(c);
+            }
+        }
+
+        private Choice choice(int index, Node n) {
+            if (!n.allows(g)) {
+                return null;
             }
             List<Node.Running> candidates = List.of();
             for (Node.Running r : n.running) {
@@ -349,7 +418,7 @@
                 }
             }
             if (candidates.isEmpty()) {
-                continue;
+                return null;
             }
             // Least work lost first: what started last.
             candidates.sort(Comparator.comparing((Node.Running r) -> r.spec.priority())
@@ -360,8 +429,7 @@
             double memory = n.soonMemory;
             double cost = 0;
             for (Node.Running r : candidates) {
-                if (g.spec.cpus() <= cpus + 1e-6 && g.spec.gpus() <= gpus + 1e-6
-                        && g.spec.memoryGb() <= memory + 1e-6) {
+                if (enough(cpus, gpus, memory)) {
                     break;
                 }
                 if (!mayStop(g, guaranteed, r)) {
@@ -376,28 +444,27 @@
                 cost += r.spec.cpus() * (in.now - r.startedAt + 1_000);
             }
             victims.forEach(r -> in.teams.get(r.team).goesOn(r.spec));
-            cost += timely(g, n) ? 0 : 1e9;
-            boolean enough = g.spec.cpus() <= cpus + 1e-6 && g.spec.gpus() <= gpus + 1e-6
-                    && g.spec.memoryGb() <= memory + 1e-6;
-            if (enough && !victims.isEmpty() && cost < bestCost) {
-                best = n;
-                bestCost = cost;
-                bestVictims = victims;
-            }
+            return enough(cpus, gpus, memory) && !victims.isEmpty()
+                    ? new Choice(cost + (timely(g, n) ? 0 : UNTIMELY), index, n, victims) : null;
+        }
+
+        private boolean enough(double cpus, double gpus, double memory) {
+            return g.spec.cpus() <= cpus + 1e-6 && g.spec.gpus() <= gpus + 1e-6 && g.spec.memoryGb() <= memory + 1e-6;
         }
-        if (best != null) {
-            for (Node.Running r : bestVictims) {
+
+        private void carryOut(Choice c) {
+            for (Node.Running r : c.tasks) {
                 r.stopping = true;
                 r.atOnce = g.startWithinS > 0 && r.spec.saveS() > g.startWithinS * WAIT_FOR_SAVE
                         && Math.min(r.ranS, r.spec.checkpointS()) < MOST_LOST_S;
                 in.teams.get(r.team).stopping(r.spec);
-                best.soonCpus += r.spec.cpus();
-                best.soonGpus += r.spec.gpus();
-                best.soonMemory += r.spec.memoryGb();
+                c.node.soonCpus += r.spec.cpus();
+                c.node.soonGpus += r.spec.gpus();
+                c.node.soonMemory += r.spec.memoryGb();
                 plan.stops.add(r);
             }
+            freeing.add(c.node);
         }
-        return best;
     }
 
     /**
