--- a/controller/src/main/java/org/landingridge/controller/Controller.java
+++ b/controller/src/main/java/org/landingridge/controller/Controller.java
@@ -53,7 +53,7 @@
     private static final long ANNOUNCE_MS = 15_000;
     /** A report waits so long for a leader to be known; the worker gives up after 4 s. */
     private static final long PARK_MS = 1_500;
-    private static final int MAX_PARKED = 400;
+    private static final int MOST_PARKED_BYTES = 8 << 20;
     /** A new leader is heard over {@code back} so soon, or there is no way to it. */
     private static final long HEAR_MS = 1_000;
     private final Loop loop;
@@ -78,6 +78,7 @@
     private final List<String> others;
     private final Relay relay;
     private final Deque<Parked> parked = new ArrayDeque<>();
+    private int parkedBytes;
     private Reign reign;
     private boolean probing;
     private long leaderSince = Long.MIN_VALUE / 2;
@@ -103,7 +104,7 @@
         this.peers = peers;
         others = settings.peers().stream().map(Settings.Peer::host).toList();
         roll = new Roll(client, mirror, loop, settings.host(), others);
-        relay = new Relay(loop, peers, settings.host());
+        relay = new Relay(loop, peers, random, settings.host(), mostReports());
         lead = new Leadership(client, mirror, loop, random, Keys.LEADER, settings.host(),
                 Math.round(policy.leaderHoldS() * 1000), others, peers, this);
         GroupWriter writer = new GroupWriter(client, mirror, loop, settings.stateLimits().txnOps(),
@@ -156,9 +157,12 @@
         } else if (message instanceof Message.HandOver m) {
             lead.handedOver(m);
         } else if (message instanceof Message.Running m) {
-            relay.heard(m.host());
-            jobs.leaderHeard(m.comesShort());
-            metrics.busy.during(Part.DISPLAY, () -> showRunning(m.counts()));
+            // The sign of life of a leader of the past may come late: it may not hide the one that is heard.
+            if (!otherIsHeard(m.host())) {
+                relay.heard(m.host());
+                jobs.leaderHeard(m.comesShort());
+                metrics.busy.during(Part.DISPLAY, () -> showRunning(m.counts()));
+            }
         } else if (message instanceof Message.Report m) {
             Http.Exchange exchange = relay.carried(m);
             if (reign != null && lead.mayAct()) {
@@ -360,10 +364,11 @@
         }
         if (otherLeads()) {
             relay.report(leader(), exchange);
-        } else if (reign == null && parked.size() < MAX_PARKED) {
+        } else if (reign == null && parked.size() < mostReports() && parkedBytes < MOST_PARKED_BYTES) {
             // Sent away, the worker would try the next controller a second later, which may know as little. And sent
             // to a leader that was elected a moment ago, hundreds would all be served by that one processor.
             parked.addLast(new Parked(exchange, loop.now() + PARK_MS));
+            parkedBytes += exchange.body().length;
             if (parked.size() == 1) {
                 loop.after(100, this::settleParked);
             }
@@ -372,6 +377,11 @@
         }
     }
 
+    /** Reports that wait hold a connection each: half of those that there are may. */
+    private int mostReports() {
+        return settings.machine().maxConnections() / 2;
+    }
+
     /** True if another controller leads and reports can be carried, or sent, to it. */
     private boolean otherLeads() {
         String leader = leader();
@@ -379,6 +389,11 @@
                 && (leader.equals(relay.heard()) || loop.now() - leaderSince > HEAR_MS);
     }
 
+    private boolean otherIsHeard(String host) {
+        String leader = leader();
+        return leader != null && !leader.equals(host) && leader.equals(relay.heard());
+    }
+
     /** The leader by its key; a process that began in an outage of the state service knows it by its word only. */
     private String leader() {
         return lead.leaderHost() != null || mirror.following() ? lead.leaderHost() : relay.heard();
@@ -388,12 +403,14 @@
         boolean known = reign != null || otherLeads();
         for (int left = parked.size(); left > 0; left--) {
             Parked p = parked.pollFirst();
+            parkedBytes -= p.exchange.body().length;
             if (known) {
                 report(p.exchange);
             } else if (loop.now() >= p.until) {
                 p.exchange.answer(421, Json.bytes(Json.object()));
             } else {
                 parked.addLast(p);
+                parkedBytes += p.exchange.body().length;
             }
         }
         if (!parked.isEmpty()) {
@@ -404,6 +421,7 @@
     private byte[] status() {
         ObjectNode n = Json.object();
         n.put("host", settings.host()).put("leadership", lead.state().name()).put("leader", lead.leaderHost())
+                .put("token", lead.leads() ? lead.token() : 0)
                 .put("ready", ready()).put("revision", mirror.revision()).put("jobs", table.size())
                 .put("activeJobs", table.active().size());
         if (reign != null) {
