--- a/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
@@ -227,8 +227,9 @@
                 && appraisal.judge(m, now).cause() == Judgement.Cause.REPORT_DUE;
     }
 
+    /** For how long a machine on which nothing takes room has been so. */
     public long idleMs(Machine m, long now) {
-        return m.hasLive() ? 0 : now - m.idleSince;
+        return now - m.idleSince;
     }
 
     /** The machine's tasks move elsewhere, so that it can be given back. */
--- a/controller/src/main/java/org/landingridge/controller/reign/Pass.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Pass.java
@@ -132,18 +132,20 @@
      */
     private Map<String, Long> closedPools(long now) {
         Map<String, Integer> silent = new HashMap<>();
-        for (Machine m : fleet.machines()) {
-            if (m.state() == Machine.State.UP || m.state() == Machine.State.LAPSED) {
-                silent.merge(m.zone(), m.state() == Machine.State.LAPSED ? 1 : -1, Integer::sum);
-            }
-        }
         Map<String, Long> closed = new HashMap<>(noCapacityUntil);
+        boolean lapsed = false;
         for (Machine m : fleet.machines()) {
+            lapsed |= m.state() == Machine.State.LAPSED;
             // Where machines boot late together, more of them would come as late: others are asked first.
             if (fleet.lateWithAll(m, now)) {
                 closed.put(Scheduler.pool(m.kind().name(), m.zone(), m.spot()), now + 1);
             }
         }
+        for (Machine m : lapsed ? fleet.machines() : List.<Machine>of()) {
+            if (m.state() == Machine.State.UP || m.state() == Machine.State.LAPSED) {
+                silent.merge(m.zone(), m.state() == Machine.State.LAPSED ? 1 : -1, Integer::sum);
+            }
+        }
         silent.forEach((zone, more) -> {
             if (more > 0) {
                 for (String type : parts.types().keySet()) {
@@ -167,13 +169,14 @@
                 teams.forEach(t -> t.hold(m.kind().cpus(), m.kind().gpus()));
             }
             Node node = new Node(m.kind(), m.zone(), m.spot(), m, usable, m.images());
-            node.idleMs = fleet.idleMs(m, now);
             node.draining = fleet.draining(m, now);
             node.unheard = fleet.unheard(m, now);
+            boolean idle = true;
             for (Attempt a : m.attempts().values()) {
                 if (!a.live()) {
                     continue;
                 }
+                idle = false;
                 if (a.state() == Attempt.State.SENT || a.state() == Attempt.State.FETCHING) {
                     node.fetching++;
                 }
@@ -194,6 +197,7 @@
                     g.perZone.merge(m.zone(), 1, Integer::sum);
                 }
             }
+            node.idleMs = idle ? fleet.idleMs(m, now) : 0;
             // What neither takes tasks nor is on its way counts for nothing.
             if (usable || fleet.coming(m, now)) {
                 nodes.add(node);
--- a/controller/src/main/java/org/landingridge/controller/sched/Scheduler.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Scheduler.java
@@ -53,6 +53,8 @@
     private final List<Node> roomy = new ArrayList<>();
     /** Nodes on which room comes free, since something is stopping there. */
     private final Set<Node> freeing = new LinkedHashSet<>();
+    /** Nodes that a new leader has not heard yet. */
+    private final List<Node> unheard = new ArrayList<>();
     /** Nodes on which anything could be stopped at all. */
     private final List<Node> stoppable = new ArrayList<>();
     /** The least priority of work that could be stopped: nothing is sought for groups that may not stop it. */
@@ -76,6 +78,9 @@
             if (n.up && n.roomy()) {
                 roomy.add(n);
             }
+            if (n.unheard) {
+                unheard.add(n);
+            }
             boolean some = false;
             for (Node.Running r : n.running) {
                 if (n.up && r.spec != null && (least == null || r.spec.priority().compareTo(least) < 0)) {
@@ -203,8 +208,8 @@
      */
     private void reserve(Group g) {
         int held = g.held;
-        for (Node n : in.nodes) {
-            while (held > 0 && n.unheard && n.allows(g) && n.fits(g.spec)) {
+        for (Node n : unheard) {
+            while (held > 0 && n.allows(g) && n.fits(g.spec)) {
                 n.take(g.spec, true);
                 held--;
             }
