--- a/experiment/src/test/java/org/landingridge/experiment/QuickReturnTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/QuickReturnTest.java
@@ -218,7 +218,7 @@
         int[] asked = new int[1];
         w.rules.orders = (order, machine, attempt, pool, repeated) -> asked[0] += order == Truth.Order.CALL ? 1 : 0;
         for (int i = 0; i < 6; i++) {
-            w.at(31_000 + i * 6_000L, () -> w.leader().host.freeze(2_300));
+            w.at(31_000 + i * 5_290L, () -> w.leader().host.freeze(2_300));
         }
         w.sim.run(80_000);
         assertEquals(0, asked[0], "machines that were asked for a silence that was the leader's own");
