One node makes room for several tasks of a group in one pass again

Cause: since stops are judged once a node and group, the node was judged anew before the task that was stopped for had taken its room there, so nothing more seemed to be needed and the node was passed over until the next pass. Change: it is judged anew when the next task asks. Test: oneNodeMakesRoomForSeveralTasks, seen to fail before (2 of 4 stops).

--- a/controller/src/main/java/org/landingridge/controller/sched/Scheduler.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Scheduler.java
@@ -366,6 +366,7 @@
         private final Group g;
         private final boolean guaranteed;
         private PriorityQueue<Choice> choices;
+        private Choice stoppedOn;
 
         Victims(Group g, boolean guaranteed) {
             this.g = g;
@@ -374,6 +375,11 @@
 
         /** Stops what costs least; the node on which that makes room for one task, or null. */
         Node stop(boolean onlyTimely) {
+            if (stoppedOn != null) {
+                // Judged only now: until the task that it was for has taken its room, nothing more seems needed there.
+                add(stoppedOn.index, stoppedOn.node);
+                stoppedOn = null;
+            }
             if (choices == null) {
                 choices = new PriorityQueue<>();
                 plan.steps += stoppable.size();
@@ -396,7 +402,7 @@
                     continue;
                 }
                 carryOut(now);
-                add(now.index, now.node);
+                stoppedOn = now;
                 return now.node;
             }
             return null;
--- a/controller/src/test/java/org/landingridge/controller/sched/SchedulerTest.java
+++ b/controller/src/test/java/org/landingridge/controller/sched/SchedulerTest.java
@@ -232,6 +232,22 @@
                 .stops.stream().map(r -> r.attempt).toList();
     }
 
+    /** A node on which something was stopped for one task may be the only one that has more to stop for the next. */
+    @Test
+    void oneNodeMakesRoomForSeveralTasks() {
+        List<Team> teams = List.of(new Team(8, 0, 0, 0), new Team(0, 0, 0, 0));
+        Node n = new Node(T4, "a", false, "m", true, Set.of());
+        for (int i = 0; i < 4; i++) {
+            n.add(new Node.Running(spec(90 + i, false, Priority.LOW, 1, 1, true, false, false), 1, "a" + i, i, false));
+            teams.get(1).usedCpus += 1;
+        }
+        Group g = new Group(spec(2, false, Priority.HIGH, 2, 2, false, false, false), "j", 1, 0, 2);
+        Plan plan = Scheduler.plan(new Scheduler.Input(2_000, List.of(n), List.of(g), teams, List.of(T4), new HashMap<>(), null,
+                1_000, 0));
+        assertEquals(4, plan.stops.size());
+        assertEquals(0, plan.unplaced);
+    }
+
     @Test
     void dearMachinesAreVacatedWhereCheapOnesHaveRoom() {
         assertEquals(List.of("a901"), vacated(old(901, 50, 60, true), 0));
