One piece each: candidates of the scheduler, room for a task, newer reports, late boots, the tests' checks

A node to stop work on is a Candidate as one with room is; Node.fits is the one comparison of room; Reports.newer serves both sides; BootTimes asks late and younger once; the tests' kept and services stand in Checks. Attempt.DONE is back where it is used; parked bytes are counted once.

--- a/controller/src/main/java/org/landingridge/controller/Controller.java
+++ b/controller/src/main/java/org/landingridge/controller/Controller.java
@@ -403,14 +403,15 @@
         boolean known = reign != null || otherLeads();
         for (int left = parked.size(); left > 0; left--) {
             Parked p = parked.pollFirst();
+            if (!known && loop.now() < p.until) {
+                parked.addLast(p);
+                continue;
+            }
             parkedBytes -= p.exchange.body().length;
             if (known) {
                 report(p.exchange);
-            } else if (loop.now() >= p.until) {
-                p.exchange.answer(421, Json.bytes(Json.object()));
             } else {
-                parked.addLast(p);
-                parkedBytes += p.exchange.body().length;
+                p.exchange.answer(421, Json.bytes(Json.object()));
             }
         }
         if (!parked.isEmpty()) {
--- a/controller/src/main/java/org/landingridge/controller/fleet/Attempt.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Attempt.java
@@ -7,9 +7,6 @@
     /** SENT: start given, not yet seen in a report. OVER: certainly not on the machine any more. */
     public enum State { SENT, FETCHING, RUNNING, SAVING, EXITED, OVER }
 
-    /** The worker's word for an attempt that completed. */
-    static final String DONE = "done";
-
     final String job;
     final int task;
     final long number;
--- a/controller/src/main/java/org/landingridge/controller/fleet/Attempts.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Attempts.java
@@ -17,6 +17,8 @@
 /** What becomes of attempts: placed, seen, over; each change of theirs and of their tasks begins here. */
 final class Attempts {
     private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+    /** The worker's word for an attempt that completed. */
+    private static final String DONE = "done";
     private final Ground ground;
     private final Faults faults;
     private final Map<String, LiveJob> jobs;
@@ -58,7 +60,7 @@
         Attempt a = new Attempt(m, e.job(), e.task(), e.attempt(), spec, null, now);
         m.attempts.put(a.number, a);
         Said said = e.status() != Report.TaskStatus.EXITED ? Said.ON
-                : Attempt.DONE.equals(e.why()) && job != null && !spec.service() ? Said.DONE : Said.ENDED;
+                : DONE.equals(e.why()) && job != null && !spec.service() ? Said.DONE : Said.ENDED;
         Stored stored = job != null ? Stored.LIVE : spec != null ? Stored.OVER : Stored.ABSENT;
         Judgement judgement = Reconciliation.entry(new EntryEvidence(stored, known(task), said));
         switch (judgement.verdict()) {
@@ -128,7 +130,7 @@
         if (task == null) {
             return;
         }
-        boolean done = a.why.equals(Attempt.DONE) && !task.job.spec().service();
+        boolean done = a.why.equals(DONE) && !task.job.spec().service();
         if (done) {
             faults.completed(task.job, a.machine);
             if (task.state() == Task.State.PENDING || task.state() == Task.State.ON_MACHINE) {
--- a/controller/src/main/java/org/landingridge/controller/fleet/BootTimes.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/BootTimes.java
@@ -74,13 +74,20 @@
      * no sooner is up. Where none is, all are late together, and another rent would wait as long.
      */
     boolean left(Machine m, long now) {
-        Seen s = seen.get(pool(m));
-        return s != null && s.youngest >= m.appeared && now - m.appeared > usualMostMs(m, now);
+        return late(m, now) && youngerIsUp(m);
     }
 
     /** True if all machines like this one are late together. */
     boolean allLate(Machine m, long now) {
+        return late(m, now) && !youngerIsUp(m);
+    }
+
+    private boolean late(Machine m, long now) {
+        return now - m.appeared > usualMostMs(m, now);
+    }
+
+    private boolean youngerIsUp(Machine m) {
         Seen s = seen.get(pool(m));
-        return now - m.appeared > usualMostMs(m, now) && (s == null || s.youngest < m.appeared);
+        return s != null && s.youngest >= m.appeared;
     }
 }
--- a/controller/src/main/java/org/landingridge/controller/fleet/LiveJob.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/LiveJob.java
@@ -28,7 +28,7 @@
     public enum Health { SOUND, DOUBTED, BROKEN }
 
     private Health health = Health.SOUND;
-    /** Exits with an error since the last success, and the machines on which they were: as many as make it broken. */
+    /** Exits with an error since the last success, and the machines on which they were. */
     int failures;
     final Set<String> failedOn = new LinkedHashSet<>();
     /** One of its tasks has completed in this reign. */
--- a/controller/src/main/java/org/landingridge/controller/fleet/Reports.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Reports.java
@@ -26,7 +26,11 @@
     }
 
     static boolean newer(Machine m, Report r) {
-        return r.session() > m.session || r.session() == m.session && r.seq() > m.seq;
+        return newer(r, m.session, m.seq);
+    }
+
+    private static boolean newer(Report r, long session, long seq) {
+        return r.session() > session || r.session() == session && r.seq() > seq;
     }
 
     /**
@@ -37,10 +41,9 @@
      * @return false if something newer is known already
      */
     boolean mergeAnswer(Machine m, Report r, long session, long seq) {
-        boolean older = r.session() < session || r.session() == session && r.seq() <= seq;
         // Sequences only grow within a life: whoever answers now with an older one has begun anew, and what it held is gone.
         // Without this it would be taken for alive, with its tasks, for good: all its reports look old.
-        if (older && m.life() == Machine.Life.KNOWN) {
+        if (!newer(r, session, seq) && m.life() == Machine.Life.KNOWN) {
             LOG.info("{} has begun anew: it answers with {}/{} after {}/{}", m.id, r.session(), r.seq(), session, seq);
             ground.incidents().say(m.id + " was started anew; what it ran before is lost");
             ground.chronicle().tell("begun_anew", "machine", m.id, "zone", m.zone, "held", m.live());
--- a/controller/src/main/java/org/landingridge/controller/sched/Node.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Node.java
@@ -107,10 +107,14 @@
     }
 
     boolean fits(JobSpec s) {
-        return s.cpus() <= cpus + 1e-6 && s.gpus() <= gpus + 1e-6 && s.memoryGb() <= memory + 1e-6;
+        return fits(s, cpus, gpus, memory);
     }
 
     boolean fitsSoon(JobSpec s) {
-        return s.cpus() <= soonCpus + 1e-6 && s.gpus() <= soonGpus + 1e-6 && s.memoryGb() <= soonMemory + 1e-6;
+        return fits(s, soonCpus, soonGpus, soonMemory);
+    }
+
+    static boolean fits(JobSpec s, double cpus, double gpus, double memory) {
+        return s.cpus() <= cpus + 1e-6 && s.gpus() <= gpus + 1e-6 && s.memoryGb() <= memory + 1e-6;
     }
 }
--- a/controller/src/main/java/org/landingridge/controller/sched/Scheduler.java
+++ b/controller/src/main/java/org/landingridge/controller/sched/Scheduler.java
@@ -29,8 +29,16 @@
     /** Standing room for services: so many more tasks of this size are to find a place at once. */
     public record Spare(JobSpec like, int tasks) {}
 
-    /** A node on which the next task of a group fits; the lowest score goes first, then the first in the input. */
-    private record Candidate(double score, int index, Node node) implements Comparable<Candidate> {
+    /**
+     * A node for the next task of a group, and what would have to be stopped there for it; the lowest score goes first, then
+     * the first in the input.
+     */
+    private record Candidate(double score, int index, Node node, List<Node.Running> stops)
+            implements Comparable<Candidate> {
+        Candidate(double score, int index, Node node) {
+            this(score, index, node, List.of());
+        }
+
         @Override
         public int compareTo(Candidate other) {
             int byScore = Double.compare(score, other.score);
@@ -348,15 +356,6 @@
         return null;
     }
 
-    /** What would have to be stopped on a node for one task; the least cost goes first, then the first in the input. */
-    private record Choice(double cost, int index, Node node, List<Node.Running> tasks) implements Comparable<Choice> {
-        @Override
-        public int compareTo(Choice other) {
-            int byCost = Double.compare(cost, other.cost);
-            return byCost != 0 ? byCost : Integer.compare(index, other.index);
-        }
-    }
-
     /**
      * Work of lower priority, or beyond another team's guarantee, that may be stopped for a group's tasks. Its tasks are
      * alike: each node is judged once, and again only when its turn comes, since what a team can spare shrinks with every stop.
@@ -365,8 +364,8 @@
         private static final double UNTIMELY = 1e9;
         private final Group g;
         private final boolean guaranteed;
-        private PriorityQueue<Choice> choices;
-        private Choice stoppedOn;
+        private PriorityQueue<Candidate> choices;
+        private Candidate stoppedOn;
 
         Victims(Group g, boolean guaranteed) {
             this.g = g;
@@ -388,16 +387,16 @@
                 }
             }
             while (!choices.isEmpty()) {
-                if (onlyTimely && choices.peek().cost >= UNTIMELY) {
+                if (onlyTimely && choices.peek().score >= UNTIMELY) {
                     return null;
                 }
-                Choice old = choices.poll();
+                Candidate old = choices.poll();
                 plan.steps++;
-                Choice now = choice(old.index, old.node);
+                Candidate now = choice(old.index, old.node);
                 if (now == null) {
                     continue;
                 }
-                if (now.cost > old.cost) {
+                if (now.score > old.score) {
                     choices.add(now);
                     continue;
                 }
@@ -409,13 +408,13 @@
         }
 
         private void add(int index, Node n) {
-            Choice c = choice(index, n);
+            Candidate c = choice(index, n);
             if (c != null) {
                 choices.add(c);
             }
         }
 
-        private Choice choice(int index, Node n) {
+        private Candidate choice(int index, Node n) {
             if (!n.allows(g)) {
                 return null;
             }
@@ -440,7 +439,7 @@
             double memory = n.soonMemory;
             double cost = 0;
             for (Node.Running r : candidates) {
-                if (enough(cpus, gpus, memory)) {
+                if (Node.fits(g.spec, cpus, gpus, memory)) {
                     break;
                 }
                 if (!mayStop(g, guaranteed, r)) {
@@ -455,16 +454,12 @@
                 cost += r.spec.cpus() * (in.now - r.startedAt + 1_000);
             }
             victims.forEach(r -> in.teams.get(r.team).goesOn(r.spec));
-            return enough(cpus, gpus, memory) && !victims.isEmpty()
-                    ? new Choice(cost + (timely(g, n) ? 0 : UNTIMELY), index, n, victims) : null;
-        }
-
-        private boolean enough(double cpus, double gpus, double memory) {
-            return g.spec.cpus() <= cpus + 1e-6 && g.spec.gpus() <= gpus + 1e-6 && g.spec.memoryGb() <= memory + 1e-6;
+            return Node.fits(g.spec, cpus, gpus, memory) && !victims.isEmpty()
+                    ? new Candidate(cost + (timely(g, n) ? 0 : UNTIMELY), index, n, victims) : null;
         }
 
-        private void carryOut(Choice c) {
-            for (Node.Running r : c.tasks) {
+        private void carryOut(Candidate c) {
+            for (Node.Running r : c.stops) {
                 r.stopping = true;
                 r.atOnce = g.startWithinS > 0 && r.spec.saveS() > g.startWithinS * WAIT_FOR_SAVE
                         && Math.min(r.ranS, r.spec.checkpointS()) < MOST_LOST_S;
--- a/controller/src/main/java/org/landingridge/controller/store/StateClient.java
+++ b/controller/src/main/java/org/landingridge/controller/store/StateClient.java
@@ -22,7 +22,6 @@
             this(status, body, false);
         }
 
-
         public boolean ok() {
             return status == Status.OK;
         }
--- a/experiment/src/test/java/org/landingridge/experiment/BadNightsTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/BadNightsTest.java
@@ -2,9 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.landingridge.experiment.Checks.kept;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
@@ -34,11 +34,6 @@
         return w;
     }
 
-    private static void kept(World w) {
-        assertEquals(List.of(), w.rules.broken);
-        assertEquals(0, w.state.tooLarge);
-    }
-
     private static void services(World w) {
         for (int i = 0; i < 6; i++) {
             w.submit(World.job(i, "blue", true, 1, 2, 0));
--- a/experiment/src/test/java/org/landingridge/experiment/EndedJobsTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/EndedJobsTest.java
@@ -26,8 +26,7 @@
     private static final int MANY = 900;
 
     private static void kept(World w) {
-        assertEquals(List.of(), w.rules.broken);
-        assertEquals(0, w.state.tooLarge);
+        Checks.kept(w);
         // No job is in two places, and none is lost.
         for (String id : w.rules.told.keySet()) {
             boolean over = w.rules.told.get(id).equals("done") || w.rules.told.get(id).equals("cancelled");
--- a/experiment/src/test/java/org/landingridge/experiment/GrownTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/GrownTest.java
@@ -3,8 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.landingridge.experiment.Checks.kept;
 
-import java.util.List;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -28,11 +28,6 @@
         return w;
     }
 
-    private static void kept(World w) {
-        assertEquals(List.of(), w.rules.broken);
-        assertEquals(0, w.state.tooLarge);
-    }
-
     @ParameterizedTest
     @ValueSource(longs = {201, 202})
     @DisplayName("a takeover of a large fleet loses no replica, although one machine hangs and two controllers are dead")
--- a/experiment/src/test/java/org/landingridge/experiment/HistoriesTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/HistoriesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.landingridge.experiment.Checks.kept;
 
 import java.util.List;
 import org.junit.jupiter.api.DisplayName;
@@ -14,11 +15,6 @@
 
 /** Whole histories of three controllers among stand-ins, every rule checked throughout. */
 class HistoriesTest {
-    private static void kept(World w) {
-        assertEquals(List.of(), w.rules.broken);
-        assertEquals(0, w.state.tooLarge);
-    }
-
     /** A mixed load: services that stay, batch jobs that end, some cancelled. */
     private static void load(World w) {
         for (int i = 0; i < 4; i++) {
--- a/experiment/src/test/java/org/landingridge/experiment/QuickReturnTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/QuickReturnTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.landingridge.experiment.Checks.kept;
+import static org.landingridge.experiment.Checks.services;
 
 import java.util.List;
 import java.util.Map;
@@ -26,15 +28,6 @@
                 new Settings.State(200, 20, 4, 8)));
     }
 
-    private static void services(World w, int count) {
-        for (int i = 0; i < count; i++) {
-            int n = i;
-            w.at(100 + i * 50L, () -> w.submit(World.job(n, "blue", true, 1, 4, 0)));
-        }
-        w.sim.run(30_000);
-        assertEquals(count, w.rules.places.size());
-    }
-
     /** Arrays that come, end, fail and are cancelled all the time, beside the services. */
     private static void load(World w) {
         for (int i = 20; i < 60; i++) {
@@ -47,11 +40,6 @@
         }
     }
 
-    private static void kept(World w) {
-        assertEquals(List.of(), w.rules.broken);
-        assertEquals(0, w.state.tooLarge);
-    }
-
     @ParameterizedTest
     @ValueSource(longs = {50, 300, 2_500})
     @DisplayName("a machine that is back under its old name is not taken for the one that held the tasks")
--- a/experiment/src/test/java/org/landingridge/experiment/SilenceTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/SilenceTest.java
@@ -26,12 +26,7 @@
 
     /** Services of a whole machine each, so many that the zones have some each, running. */
     private void services(int count) {
-        for (int i = 0; i < count; i++) {
-            int n = i;
-            w.at(100 + i * 50L, () -> w.submit(World.job(n, "blue", true, 1, 4, 0)));
-        }
-        w.sim.run(30_000);
-        assertEquals(count, w.rules.places.size());
+        Checks.services(w, count);
     }
 
     private List<Worker> busy() {
@@ -47,8 +42,7 @@
     }
 
     private void kept() {
-        assertEquals(List.of(), w.rules.broken);
-        assertEquals(0, w.state.tooLarge);
+        Checks.kept(w);
     }
 
     @BeforeEach
