Promises tell of cancellations, and a lead that may lack one ends by itself

Cause: a leader that has lost the state service goes on by the others' promises for as long as an outage lasts, and a promise said only that its giver will not lead. Change: each controller keeps, in order and bounded, the cancellations it knows (jobs.Endings); a promise carries those that the asking leader may lack, in pages, from a position within the giver's present life, and only from a life that has read the state whole. The leader ends such jobs at once. The time of which all cancellations are known is the newer of its own view and the oldest complete word of the others; a lease's life before cancel_s has passed since then no worker is answered any more, by hold or promise. The stand-in for the state service keeps the open watches of a client it refuses waiting, as its protocol says. A controller's record that cannot be read no longer ends the connection.

--- a/controller/src/main/java/org/landingridge/controller/Controller.java
+++ b/controller/src/main/java/org/landingridge/controller/Controller.java
@@ -105,8 +105,10 @@
         others = settings.peers().stream().map(Settings.Peer::host).toList();
         roll = new Roll(client, mirror, loop, settings.host(), others);
         relay = new Relay(loop, peers, random, settings.host(), mostReports());
-        lead = new Leadership(client, mirror, loop, random, Keys.LEADER, settings.host(),
-                Math.round(policy.leaderHoldS() * 1000), others, peers, this);
+        long holdMs = Math.round(policy.leaderHoldS() * 1000);
+        lead = new Leadership(client, mirror, loop, random, Keys.LEADER, settings.host(), holdMs,
+                Leadership.blindMs(settings.workers().cancelS(), settings.workers().leaseS(), holdMs), others, peers,
+                table.endings(), this);
         GroupWriter writer = new GroupWriter(client, mirror, loop, settings.stateLimits().txnOps(),
                 settings.stateLimits().writeRps() * 0.5, Keys.LEADER, lead::writeGuard,
                 metrics.busy);
@@ -280,6 +282,11 @@
         }
     }
 
+    @Override
+    public void cancelled(String job, long revision) {
+        table.cancelled(job, revision);
+    }
+
     private void refreshTypes() {
         cloud.types(all -> {
             if (all != null && !all.isEmpty()) {
--- a/controller/src/main/java/org/landingridge/controller/jobs/JobTable.java
+++ b/controller/src/main/java/org/landingridge/controller/jobs/JobTable.java
@@ -40,6 +40,9 @@
     private final LongSupplier clock;
     private final Consumer<String> dropped;
     private final int mostEnded;
+    private final Endings endings = new Endings();
+    /** Cancelled by another controller's word, before this one has heard that the job was accepted; with the revision. */
+    private final Map<String, Long> foretold = new HashMap<>();
     private Listener listener;
     private int count;
     private int drops;
@@ -68,6 +71,11 @@
         return byId.get(id);
     }
 
+    /** The cancellations known here. */
+    public Endings endings() {
+        return endings;
+    }
+
     /** Jobs that are neither done nor cancelled, in the order of their acceptance. */
     public List<Job> active() {
         return active;
@@ -126,10 +134,11 @@
     /** The mirror's news of a job's key. */
     public void changed(String id, JsonNode value, long version) {
         Job job = byId.get(id);
+        Long cancelled = foretold.remove(id);
         if (value == null) {
             if (job != null) {
                 // Only ended jobs leave their key. One that was live here until now ended while the watch was lost.
-                end(job, Job.Status.MOVED, job.tasks(), true);
+                end(job, Job.Status.MOVED, job.tasks(), version, true);
                 byId.remove(id);
                 ended.remove(job);
             }
@@ -150,7 +159,9 @@
         }
         Ended end = ended(value);
         if (end != null) {
-            end(job, end.how(), end.tasks(), !fresh);
+            end(job, end.how(), end.tasks(), version, !fresh);
+        } else if (fresh && cancelled != null && cancelled > version) {
+            end(job, Job.Status.CANCELLED, job.tasks(), cancelled, false);
         } else if (fresh && job.spec() != null) {
             active.add(job);
             if (listener != null) {
@@ -159,9 +170,26 @@
         }
     }
 
-    /** Ends a job: from the mirror's news, or by the process that has just committed the end. */
-    public void end(Job job, Job.Status how, int tasks, boolean tell) {
+    /** Another controller knows the job to be cancelled: that is final, and holds before this one's own view shows it. */
+    public void cancelled(String id, long revision) {
+        Job job = byId.get(id);
+        if (job != null) {
+            end(job, Job.Status.CANCELLED, job.tasks(), revision, true);
+        } else {
+            foretold.put(id, revision);
+        }
+    }
+
+    /**
+     * Ends a job: from the mirror's news, by the process that has just committed the end, or by another's word.
+     *
+     * @param revision at which the end was stored
+     */
+    public void end(Job job, Job.Status how, int tasks, long revision, boolean tell) {
         if (job.end(how, tasks, clock.getAsLong())) {
+            if (how == Job.Status.CANCELLED) {
+                endings.note(revision, job.id());
+            }
             active.remove(job);
             ended.add(job);
             if (tell && listener != null) {
--- a/controller/src/main/java/org/landingridge/controller/lead/Leadership.java
+++ b/controller/src/main/java/org/landingridge/controller/lead/Leadership.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
 import java.util.random.RandomGenerator;
+import org.landingridge.controller.jobs.Endings;
 import org.landingridge.controller.peer.Message;
 import org.landingridge.controller.peer.PeerNet;
 import org.landingridge.controller.store.Mirror;
@@ -22,8 +23,9 @@
 public final class Leadership {
     /**
      * LEADING by the hold. PROMISED: the state service does not answer, but every other controller has promised not
-     * to take the lead for a while. SUSPENDED: neither; no command is given, but if the hold turns out to be alive the
-     * leader goes on under the same token, since then no one else can have led meanwhile.
+     * to take the lead for a while. SUSPENDED: neither, or it is too long since all cancellations were known; no command
+     * is given, but if the hold turns out to be alive the leader goes on under the same token, since then no one else can
+     * have led meanwhile.
      */
     public enum State { FOLLOWING, CLAIMING, LEADING, PROMISED, SUSPENDED }
 
@@ -32,12 +34,17 @@
         void elected(long token);
 
         void deposed();
+
+        /** Another controller knows the job to be cancelled, at this revision. */
+        void cancelled(String job, long revision);
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
     /** Steady clocks differ by 0.05 %; a tenth of a percent and some milliseconds cover both sides. */
     static final double DRIFT = 0.001;
     static final long MARGIN_MS = 60;
+    /** From the end of a lease until its tasks are gone, and from the look at the clock until a 200 is sent. */
+    private static final long LAPSE_MARGIN_MS = 1_000;
     private final StateClient client;
     private final Mirror mirror;
     private final Loop loop;
@@ -47,6 +54,8 @@
     private final String host;
     private final String incarnation;
     private final long holdMs;
+    /** So long after the last time of which all cancellations are known a worker may still be answered. */
+    private final long blindMs;
     private final Listener listener;
     private final PeerNet peers;
     private final List<String> others;
@@ -72,8 +81,13 @@
     private final long started;
     private final Promises promises;
 
+    /**
+     * @param blindMs see {@link #blindMs(double, double, long)}
+     * @param endings the cancellations that this process knows
+     */
     public Leadership(StateClient client, Mirror mirror, Loop loop, RandomGenerator random, String key, String host,
-            long holdMs, List<String> others, PeerNet peers, Listener listener) {
+            long holdMs, long blindMs, List<String> others, PeerNet peers, Endings endings, Listener listener) {
+        this.blindMs = blindMs;
         this.client = client;
         this.mirror = mirror;
         this.loop = loop;
@@ -86,10 +100,20 @@
         this.listener = listener;
         this.others = List.copyOf(others);
         this.peers = peers;
-        this.promises = new Promises(client, loop, peers, key, host, this.others);
+        this.promises = new Promises(client, loop, peers, key, host, this.others, random.nextLong(), endings, mirror::loaded);
         this.started = loop.now();
     }
 
+    /**
+     * For how long a leader that may lack a cancellation can go on answering workers: their leases, which each answer
+     * renews, have to be over before {@code cancelS} is. Where settings leave less than a hold's life for that, that much
+     * is taken: no leader could serve otherwise, and what was confirmed may then run on for the difference.
+     */
+    public static long blindMs(double cancelS, double leaseS, long holdMs) {
+        long left = (long) (cancelS * 1000 * (1 - DRIFT)) - (long) (leaseS * 1000 * (1 + 2 * DRIFT)) - LAPSE_MARGIN_MS;
+        return Math.max(holdMs, left);
+    }
+
     public void start() {
         tick();
     }
@@ -132,7 +156,28 @@
 
     /** True while a command or a renewal of a lease may be given: checked right before each. */
     public boolean mayAct() {
-        return (state == State.LEADING || state == State.PROMISED) && loop.now() < rightUntil;
+        return (state == State.LEADING || state == State.PROMISED) && loop.now() < Math.min(rightUntil, sightUntil());
+    }
+
+    /**
+     * Every cancellation that any controller told a user before this time, by the loop's clock, is known here: by what was
+     * read of the state, or by the word of all others.
+     */
+    public long known() {
+        return Math.max(mirror.viewAt(), promises.known());
+    }
+
+    /**
+     * Until when workers may be answered without more news of cancellations. Beyond it the lead ends by itself: the tasks
+     * of a job that some user was told is cancelled could otherwise run on for as long as an outage lasts.
+     */
+    private long sightUntil() {
+        return known() + blindMs;
+    }
+
+    /** When something that may lack until now must be off its machine at the latest, less the machine's lease. */
+    public long offBy() {
+        return sightUntil();
     }
 
     /** The mirror's news of the leader's key. */
@@ -166,7 +211,12 @@
         switch (state) {
             case FOLLOWING -> consider();
             case LEADING, PROMISED, SUSPENDED -> {
-                if (state != State.SUSPENDED && loop.now() >= rightUntil) {
+                boolean blind = loop.now() >= sightUntil();
+                if (state != State.SUSPENDED && (blind || loop.now() >= rightUntil)) {
+                    if (blind) {
+                        LOG.warn("all cancellations are known only up to {} ms ago: no worker is answered any more",
+                                loop.now() - known());
+                    }
                     to(State.SUSPENDED);
                 }
                 if (loop.now() - renewed > holdMs * 2 / 5 + 100) {
@@ -327,7 +377,7 @@
     private void renewed(long sent) {
         renewed = Math.max(renewed, sent);
         rightUntil = Math.max(rightUntil, right(sent));
-        if (loop.now() < rightUntil) {
+        if (loop.now() < Math.min(rightUntil, sightUntil())) {
             to(State.LEADING);
         }
     }
@@ -366,7 +416,7 @@
 
     /** Asks every other controller not to lead for a while: the state service does not answer this one. */
     private void ask() {
-        promises.ask(token);
+        promises.ask(token, mirror.revision());
     }
 
     /** Another controller asks for a promise; whoever leads, or may be about to, gives none. */
@@ -375,6 +425,7 @@
     }
 
     public void granted(Message.Grant grant) {
+        promises.heard(grant, e -> listener.cancelled(e.id(), e.revision()));
         if (!leads() || grant.token() != token) {
             return;
         }
@@ -382,7 +433,9 @@
         // Promises extend a right that has not run out. They never revive one: in between, someone may have led.
         if (loop.now() < rightUntil && until > rightUntil) {
             rightUntil = until;
-            to(State.PROMISED);
+            if (loop.now() < sightUntil()) {
+                to(State.PROMISED);
+            }
         }
     }
 
--- a/controller/src/main/java/org/landingridge/controller/lead/Promises.java
+++ b/controller/src/main/java/org/landingridge/controller/lead/Promises.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.landingridge.controller.jobs.Endings;
 import org.landingridge.controller.peer.Message;
 import org.landingridge.controller.peer.PeerNet;
 import org.landingridge.controller.store.StateClient;
@@ -15,6 +17,9 @@
  * Words given over {@code back} not to take the lead for a while: with those of every other controller a leader goes on
  * through an outage of the state service. A promise counts for the leader from when it was asked for, for the one who
  * gives it from when it was given, drift on both sides.
+ *
+ * <p>With its promise each controller says which jobs it knows to be cancelled. Users were told so by one of them, and a
+ * leader that has lost the state service learns it in no other way.
  */
 final class Promises {
     /** How long a promise lasts. A fresh process leads no sooner: it may have forgotten one. */
@@ -35,8 +40,29 @@
     private final Map<Long, Long> askedAt = new LinkedHashMap<>();
     /** When the newest ask was sent that each of the others has granted. */
     private final Map<String, Long> granted = new HashMap<>();
+    /** What was heard of the others' cancellations, by host. */
+    private final Map<String, Heard> heard = new HashMap<>();
+    private final Endings endings;
+    private final BooleanSupplier readWhole;
+    /** Of this process: the positions in its own record of cancellations mean nothing in the next one. */
+    private final long life;
 
-    Promises(StateClient client, Loop loop, PeerNet peers, String key, String host, List<String> others) {
+    /** How far one controller's record of cancellations is known here, and everything that it told users before when. */
+    private static final class Heard {
+        private long life;
+        private long position;
+        private long before = Long.MIN_VALUE / 2;
+    }
+
+    /**
+     * @param endings   the cancellations that this process knows
+     * @param readWhole whether it has read the state whole: before, it cannot vouch for what its former life told users
+     */
+    Promises(StateClient client, Loop loop, PeerNet peers, String key, String host, List<String> others, long life,
+            Endings endings, BooleanSupplier readWhole) {
+        this.life = life;
+        this.endings = endings;
+        this.readWhole = readWhole;
         this.client = client;
         this.loop = loop;
         this.peers = peers;
@@ -50,14 +76,16 @@
         return loop.now() < boundUntil;
     }
 
-    void ask(long token) {
+    /** @param since this controller knows everything that was stored up to this revision */
+    void ask(long token, long since) {
         long number = ++asks;
         askedAt.put(number, loop.now());
         if (askedAt.size() > MOST_ASKED) {
             askedAt.remove(askedAt.keySet().iterator().next());
         }
         for (String other : others) {
-            peers.send(other, new Message.Ask(host, token, number));
+            Heard h = heard.computeIfAbsent(other, o -> new Heard());
+            peers.send(other, new Message.Ask(host, token, number, since, h.life, h.position));
         }
     }
 
@@ -90,7 +118,46 @@
     /** From here on this controller keeps from claiming, by its own clock, for longer than the leader will count. */
     private void promise(Message.Ask ask) {
         boundUntil = loop.now() + (long) (LIFE_MS * (1 + Leadership.DRIFT));
-        peers.send(ask.host(), new Message.Grant(host, ask.token(), ask.number()));
+        peers.send(ask.host(), new Message.Grant(host, ask.token(), ask.number(), word(ask)));
+    }
+
+    private Message.Word word(Message.Ask ask) {
+        if (!readWhole.getAsBoolean()) {
+            return null;
+        }
+        long from = ask.life() == life ? ask.position() : 0;
+        Endings.Page page = endings.after(from, ask.since());
+        return page == null ? null : new Message.Word(life, from, page.to(), page.complete(), page.endings());
+    }
+
+    /** What one of the others vouches for. Its cancellations are final, whichever lead they were said to. */
+    void heard(Message.Grant grant, Consumer<Endings.Ending> cancelled) {
+        Message.Word word = grant.word();
+        Heard h = heard.get(grant.host());
+        if (word == null || h == null) {
+            return;
+        }
+        word.endings().forEach(cancelled);
+        if (word.life() != h.life ? word.from() != 0 : word.from() > h.position) {
+            // Something between is missing: it is asked for again from where we are.
+            return;
+        }
+        h.position = word.life() == h.life ? Math.max(h.position, word.to()) : word.to();
+        h.life = word.life();
+        Long sent = askedAt.get(grant.number());
+        if (word.complete() && sent != null) {
+            h.before = Math.max(h.before, sent);
+        }
+    }
+
+    /** Every cancellation that another controller told a user before this time, by the loop's clock, is known here. */
+    long known() {
+        long before = loop.now();
+        for (String other : others) {
+            Heard h = heard.get(other);
+            before = h == null ? Long.MIN_VALUE / 2 : Math.min(before, h.before);
+        }
+        return before;
     }
 
     /** Until when nobody else will lead by the words given so far; long past while one of them is missing. */
--- a/controller/src/main/java/org/landingridge/controller/peer/Message.java
+++ b/controller/src/main/java/org/landingridge/controller/peer/Message.java
@@ -5,18 +5,41 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import org.landingridge.controller.jobs.Endings;
 
 /** What controllers say to each other: records of DataOutputStream, a type byte first. */
 public sealed interface Message {
     int MAX_BYTES = 256 * 1024;
 
-    /** The leader asks for a promise not to take the lead for a bounded time. */
-    record Ask(String host, long token, long number) implements Message {}
+    /**
+     * The leader asks for a promise not to take the lead for a bounded time, and what the other knows to be cancelled.
+     *
+     * @param since    the leader knows everything up to this revision
+     * @param life     of the asked controller, as the leader knows it; 0 if it does not
+     * @param position up to which the leader has what that life came to know
+     */
+    record Ask(String host, long token, long number, long since, long life, long position) implements Message {}
 
-    /** The promise is given, counted by the leader from when it sent the request of this number. */
-    record Grant(String host, long token, long number) implements Message {}
+    /**
+     * The promise is given, counted by the leader from when it sent the request of this number.
+     *
+     * @param word what the giver vouches for; null where it cannot, or is of a version that does not
+     */
+    record Grant(String host, long token, long number, Word word) implements Message {}
+
+    /**
+     * What a controller's present life knows to be cancelled.
+     *
+     * @param life     which life
+     * @param from     the position after which this begins
+     * @param to       the position that it reaches
+     * @param complete nothing is known there beyond it
+     */
+    record Word(long life, long from, long to, boolean complete, List<Endings.Ending> endings) {}
 
     /** No promise: the refuser can use the state service itself, or leads. */
     record Refuse(String host, long token, long number) implements Message {}
@@ -43,10 +66,17 @@
                 head(out, 1, m.host);
                 out.writeLong(m.token);
                 out.writeLong(m.number);
+                out.writeLong(m.since);
+                out.writeLong(m.life);
+                out.writeLong(m.position);
             } else if (this instanceof Grant m) {
                 head(out, 2, m.host);
                 out.writeLong(m.token);
                 out.writeLong(m.number);
+                out.writeBoolean(m.word != null);
+                if (m.word != null) {
+                    write(out, m.word);
+                }
             } else if (this instanceof Refuse m) {
                 head(out, 3, m.host);
                 out.writeLong(m.token);
@@ -90,8 +120,10 @@
         int type = in.readUnsignedByte();
         String host = in.readUTF();
         return switch (type) {
-            case 1 -> new Ask(host, in.readLong(), in.readLong());
-            case 2 -> new Grant(host, in.readLong(), in.readLong());
+            // A controller of an earlier version neither asks for the others' word nor gives its own.
+            case 1 -> new Ask(host, in.readLong(), in.readLong(), in.available() > 0 ? in.readLong() : Long.MAX_VALUE,
+                    in.available() > 0 ? in.readLong() : 0, in.available() > 0 ? in.readLong() : 0);
+            case 2 -> new Grant(host, in.readLong(), in.readLong(), in.available() > 0 && in.readBoolean() ? word(in) : null);
             case 3 -> new Refuse(host, in.readLong(), in.readLong());
             case 4 -> new HandOver(host, in.readLong());
             case 5 -> {
@@ -109,6 +141,34 @@
         };
     }
 
+    private static void write(DataOutputStream out, Word word) throws IOException {
+        out.writeLong(word.life);
+        out.writeLong(word.from);
+        out.writeLong(word.to);
+        out.writeBoolean(word.complete);
+        out.writeInt(word.endings.size());
+        for (Endings.Ending e : word.endings) {
+            out.writeLong(e.revision());
+            out.writeUTF(e.id());
+        }
+    }
+
+    private static Word word(DataInputStream in) throws IOException {
+        long life = in.readLong();
+        long from = in.readLong();
+        long to = in.readLong();
+        boolean complete = in.readBoolean();
+        int n = in.readInt();
+        if (n < 0 || n > MAX_BYTES) {
+            throw new IOException(n + " cancellations");
+        }
+        List<Endings.Ending> endings = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            endings.add(new Endings.Ending(in.readLong(), in.readUTF()));
+        }
+        return new Word(life, from, to, complete, endings);
+    }
+
     private static byte[] body(DataInputStream in) throws IOException {
         int n = in.readInt();
         if (n < 0 || n > MAX_BYTES) {
--- a/controller/src/main/java/org/landingridge/controller/peer/XnioPeerNet.java
+++ b/controller/src/main/java/org/landingridge/controller/peer/XnioPeerNet.java
@@ -118,7 +118,14 @@
                 buffer.getInt();
                 byte[] frame = new byte[length];
                 buffer.get(frame);
-                Message message = Message.decode(new DataInputStream(new ByteArrayInputStream(frame)));
+                Message message;
+                try {
+                    message = Message.decode(new DataInputStream(new ByteArrayInputStream(frame)));
+                } catch (IOException e) {
+                    // A frame of its own: what follows it can be read all the same.
+                    LOG.warn("a controller's record of {} bytes cannot be read and is dropped: {}", length, e.toString());
+                    continue;
+                }
                 try {
                     receiver.accept(message);
                 } catch (RuntimeException e) {
--- a/controller/src/main/java/org/landingridge/controller/reign/Reign.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Reign.java
@@ -245,7 +245,7 @@
                     + tookS + " s instead of " + Math.round(within) + " s, with " + fleet.waiting()
                     + " tasks of all jobs waiting for room now");
         }
-        table.end(job, Job.Status.DONE, job.tasks(), true);
+        table.end(job, Job.Status.DONE, job.tasks(), revision, true);
     }
 
     @Override
--- a/controller/src/main/java/org/landingridge/controller/store/Mirror.java
+++ b/controller/src/main/java/org/landingridge/controller/store/Mirror.java
@@ -44,6 +44,9 @@
     private State state = State.LOADING;
     private long revision = -1;
     private long lastAnswer = Long.MIN_VALUE / 2;
+    /** Everything stored before this time, by the loop's clock, has been taken over here. */
+    private long viewAt = Long.MIN_VALUE / 2;
+    private boolean loaded;
     private List<Waiter> waiting = new ArrayList<>();
     private boolean barrierDue;
     private boolean barrierRunning;
@@ -67,7 +70,7 @@
     }
 
     public void start() {
-        load(null, new HashSet<>(versions.keySet()), -1);
+        load(null, new HashSet<>(versions.keySet()), -1, loop.now());
     }
 
     public boolean following() {
@@ -83,6 +86,16 @@
         return lastAnswer;
     }
 
+    /** A time by the loop's clock: everything that was stored before is known here. Long past while nothing is. */
+    public long viewAt() {
+        return viewAt;
+    }
+
+    /** True once this process has read the state whole. */
+    public boolean loaded() {
+        return loaded;
+    }
+
     /** The version of a key, 0 where it does not exist. */
     public long version(String key) {
         return versions.getOrDefault(key, 0L);
@@ -130,9 +143,10 @@
             return;
         }
         barrierRunning = true;
+        long sent = loop.now();
         client.watch(watched, revision, 0, answer -> {
             barrierRunning = false;
-            boolean passed = answer.ok() && apply(answer);
+            boolean passed = answer.ok() && apply(answer, sent);
             note(answer);
             for (Waiter w : group) {
                 (passed ? w.passed : w.failed).run();
@@ -148,9 +162,10 @@
 
     private void follow() {
         long from = revision;
+        long sent = loop.now();
         client.watch(watched, from, WATCH_MS, answer -> {
             note(answer);
-            if (answer.ok() && apply(answer)) {
+            if (answer.ok() && apply(answer, sent)) {
                 // The pause gathers changes: one request of the shared rate then brings many.
                 loop.after(pauseMs, this::follow);
             } else if (answer.status() == Status.TOO_OLD) {
@@ -164,7 +179,8 @@
         });
     }
 
-    private boolean apply(Answer answer) {
+    /** @param sent when it was asked for: how late the answer comes, and how old it then is, nobody knows */
+    private boolean apply(Answer answer, long sent) {
         long to = answer.revision();
         JsonNode events = answer.body().get("events");
         if (to < 0 || events == null || !events.isArray()) {
@@ -173,6 +189,8 @@
         }
         busy.during(Busy.Part.MIRROR, () -> apply(events));
         revision = Math.max(revision, to);
+        // While everything is read again, what a watch brings is not the whole.
+        viewAt = state == State.FOLLOWING ? Math.max(viewAt, sent) : viewAt;
         return true;
     }
 
@@ -202,13 +220,14 @@
      * then come once more, which does no harm.
      *
      * @param unseen keys known before that no page has shown yet
+     * @param began  when the first page was asked for
      */
-    private void load(String after, Set<String> unseen, long start) {
+    private void load(String after, Set<String> unseen, long start, long began) {
         client.list(prefix, after, 500, answer -> {
             note(answer);
             JsonNode entries = answer.ok() ? answer.body().get("entries") : null;
             if (entries == null || !entries.isArray() || answer.revision() < 0) {
-                loop.after(300, () -> load(after, unseen, start));
+                loop.after(300, () -> load(after, unseen, start, after == null ? loop.now() : began));
                 return;
             }
             long from = start < 0 ? answer.revision() : start;
@@ -223,7 +242,7 @@
                 }
             }
             if (Json.flag(answer.body(), "more") && last != null) {
-                load(last, unseen, from);
+                load(last, unseen, from, began);
                 return;
             }
             for (String key : unseen) {
@@ -234,6 +253,8 @@
             boolean first = revision < 0;
             revision = from;
             state = State.FOLLOWING;
+            loaded = true;
+            viewAt = Math.max(viewAt, began);
             if (first) {
                 LOG.info("read {} keys of the state service at revision {}", versions.size(), from);
             }
--- a/controller/src/main/java/org/landingridge/controller/users/JobService.java
+++ b/controller/src/main/java/org/landingridge/controller/users/JobService.java
@@ -220,7 +220,7 @@
         client.commit(List.of(new Guard(key, mirror.version(key))), List.of(new Write(key, value, 0)), answer -> {
             if (answer.ok()) {
                 mirror.committed(key, answer.revision());
-                table.end(job, Job.Status.CANCELLED, job.tasks(), true);
+                table.end(job, Job.Status.CANCELLED, job.tasks(), answer.revision(), true);
                 LOG.info("{} is cancelled", job.id());
                 exchange.answer(200, Json.bytes(Json.object().put("id", job.id()).put("status", "cancelled")));
             } else if (answer.status() == Status.CONFLICT || answer.status() == Status.UNKNOWN) {
--- a/emulator/src/main/java/org/landingridge/emulator/StateService.java
+++ b/emulator/src/main/java/org/landingridge/emulator/StateService.java
@@ -26,7 +26,7 @@
 
     private record Change(long revision, String key, JsonNode value) {}
 
-    private record Watch(String prefix, long after, Exchange exchange) {}
+    private record Watch(String client, String prefix, long after, Exchange exchange) {}
 
     private final Loop loop;
     private final TreeMap<String, Entry> keys = new TreeMap<>();
@@ -41,8 +41,10 @@
     /** Changes up to this revision are forgotten: a watch from before it is too old. */
     private long forgotten;
     private boolean outage;
-    /** Clients for which the service answers 503, while the others are served. */
-    public final Set<String> refused = new HashSet<>();
+    /** Clients for which the service answers 503, while the others are served; their open watches wait. */
+    private final Set<String> refused = new HashSet<>();
+    /** The client whose request is served now; null where nobody asked by name. */
+    private String asking;
     /** Values larger than {@link #valueBytes} that were sent. */
     public int tooLarge;
     /** The most requests, and puts and deletes, in any second. */
@@ -142,6 +144,15 @@
         }
     }
 
+    /** Refuses one client alone, or serves it again. */
+    public void refuse(String client, boolean on) {
+        if (on) {
+            refused.add(client);
+        } else if (refused.remove(client)) {
+            wake();
+        }
+    }
+
     private void expire() {
         if (!outage) {
             for (Long lease : new ArrayList<>(leases.keySet())) {
@@ -192,7 +203,7 @@
             return;
         }
         for (Watch w : new ArrayList<>(watches.keySet())) {
-            if (w.after < forgotten || !events(w.prefix, w.after).isEmpty()) {
+            if (!refused.contains(w.client) && (w.after < forgotten || !events(w.prefix, w.after).isEmpty())) {
                 watches.remove(w).cancel();
                 answer(w);
             }
@@ -219,6 +230,17 @@
         return all;
     }
 
+    /** Keeps a watch open until its time is over; one that may not be answered then waits on. */
+    private void hold(Watch w, long wait) {
+        watches.put(w, loop.after(wait, () -> {
+            if (outage || refused.contains(w.client)) {
+                hold(w, 100);
+            } else if (watches.remove(w) != null) {
+                answer(w);
+            }
+        }));
+    }
+
     private void answer(Watch w) {
         if (w.after < forgotten) {
             w.exchange.answer(410, Json.bytes(Json.object().put("edition", revision)));
@@ -236,7 +258,9 @@
             if (refused.contains(client)) {
                 x.answer(503, new byte[0]);
             } else {
+                asking = client;
                 serve(x);
+                asking = null;
             }
         };
     }
@@ -262,16 +286,12 @@
         }
         JsonNode body = x.body().length == 0 ? Json.object() : Json.parse(x.body());
         if (path.equals("/watch")) {
-            Watch w = new Watch(query.get("under"), Long.parseLong(query.get("from")), x);
+            Watch w = new Watch(asking, query.get("under"), Long.parseLong(query.get("from")), x);
             long wait = Long.parseLong(query.getOrDefault("blockMs", "0"));
             if (wait == 0 || w.after < forgotten || !events(w.prefix, w.after).isEmpty()) {
                 answer(w);
             } else {
-                watches.put(w, loop.after(wait, () -> {
-                    if (watches.remove(w) != null) {
-                        answer(w);
-                    }
-                }));
+                hold(w, wait);
             }
         } else if (path.equals("/store")) {
             list(query, x);
--- a/experiment/src/main/java/org/landingridge/experiment/Play.java
+++ b/experiment/src/main/java/org/landingridge/experiment/Play.java
@@ -171,8 +171,8 @@
             case FREEZE_ALL -> world.nodes.forEach(n -> n.host.freeze(forMs));
             case REFUSE_LEADER_STATE -> {
                 if (leader != null) {
-                    world.state.refused.add(leader.host.name);
-                    world.at(world.sim.now + forMs, () -> world.state.refused.remove(leader.host.name));
+                    world.state.refuse(leader.host.name, true);
+                    world.at(world.sim.now + forMs, () -> world.state.refuse(leader.host.name, false));
                 }
             }
             case CUT_LEADER_PEERS -> {
--- a/experiment/src/test/java/org/landingridge/experiment/AllDownTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/AllDownTest.java
@@ -113,10 +113,10 @@
         down(3_000);
         w.at(DOWN_AT + 1_000, this::lose);
         w.at(DOWN_AT + 9_000, () -> {
-            w.state.refused.add("rig-" + seed % 3);
+            w.state.refuse("rig-" + seed % 3, true);
             w.state.outage(false);
         });
-        w.at(DOWN_AT + 20_000, w.state.refused::clear);
+        w.at(DOWN_AT + 20_000, () -> w.state.refuse("rig-" + seed % 3, false));
         w.sim.run(150_000);
         settled();
     }
--- a/experiment/src/test/java/org/landingridge/experiment/HistoriesTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/HistoriesTest.java
@@ -120,7 +120,7 @@
         w.sim.run(20_000);
         World.Node before = w.leader();
         int starts = w.rules.starts;
-        w.state.refused.add(before.host.name);
+        w.state.refuse(before.host.name, true);
         w.sim.run(26_000);
         assertNotNull(w.leader());
         assertNotEquals(before, w.leader());
