Random meetings of troubles; a session's own lease; the leader that is heard

Cause 1: when a machine began a new session that no report of it had told of, its lease was still counted from the last answer to the session before. Started into by direct calls, its tasks were placed again elsewhere while they ran (ran_twice). Found by random meetings (a leader that stands still, a controller refused alone); MeetingsTest.aSessionBeginsThatNobodyAnswered. Cause 2: a controller refused by the state service sent workers to the leader of its old view although it heard the new one: they went round between it and a frozen leader until their leases were over. It now carries reports to the leader it hears. The checker asks for every job at the end (forgotten) and no longer calls a slow answer, to a question that was asked before the job was called over, an older one: both answers were on their way; a later question stays judged as before.

--- a/controller/src/main/java/org/landingridge/controller/Controller.java
+++ b/controller/src/main/java/org/landingridge/controller/Controller.java
@@ -48,6 +48,7 @@
 public final class Controller implements Leadership.Listener {
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
     private static final long READY_MS = 4_000;
+    private static final long STALE_MS = 2_500;
     private static final long OPEN_MS = 2_000;
     /** After a start the leases of hundreds of workers come first, and users' changes. */
     private static final long ANNOUNCE_MS = 15_000;
@@ -401,9 +402,15 @@
         return leader != null && !leader.equals(host) && leader.equals(relay.heard());
     }
 
-    /** The leader by its key; a process that began in an outage of the state service knows it by its word only. */
+    /**
+     * The leader by its key. A process that began in an outage of the state service knows it by its word only; and where the
+     * state service has not answered lately, as one that is refused alone, the key may name a leader of the past, to which
+     * workers would be sent round and round.
+     */
     private String leader() {
-        return lead.leaderHost() != null || mirror.following() ? lead.leaderHost() : relay.heard();
+        String heard = relay.heard();
+        boolean current = mirror.following() && loop.now() - mirror.lastAnswer() < STALE_MS;
+        return !current && heard != null ? heard : lead.leaderHost();
     }
 
     private void settleParked() {
--- a/controller/src/main/java/org/landingridge/controller/fleet/Reports.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Reports.java
@@ -92,6 +92,9 @@
             // The earlier session's end killed and forgot every task.
             attempts.releaseAll(m, "its session ended");
             m.session = r.session();
+            // A session has a lease's time from its beginning, whether anybody answers it or not. Counted from an answer to the one
+            // before, what was started straight into this one would be placed again while it still runs.
+            m.answered = Math.max(m.answered, now);
         }
         m.seq = r.seq();
         m.token = r.token();
@@ -150,6 +153,8 @@
         }
         if (r.token() >= ground.token() && !m.fenced) {
             m.fenced = true;
+            // From here on starts are sent to it, into a session that may have begun at any time until now.
+            m.answered = Math.max(m.answered, now);
             news = true;
             census.accounted(m);
         }
--- a/controller/src/main/java/org/landingridge/controller/lead/Leadership.java
+++ b/controller/src/main/java/org/landingridge/controller/lead/Leadership.java
@@ -62,6 +62,8 @@
     private State state = State.FOLLOWING;
     private long hold;
     private long token;
+    /** When this controller took the lead last; what it knows may be a watch's wait old then. */
+    private long wonAt;
     private long rightUntil = Long.MIN_VALUE / 2;
     private String leaderHost;
     private String leaderIncarnation;
@@ -214,7 +216,7 @@
             case FOLLOWING -> consider();
             case LEADING, PROMISED, SUSPENDED -> {
                 boolean blind = loop.now() >= sightUntil();
-                if (state == State.LEADING && blind && loop.now() < rightUntil) {
+                if (state == State.LEADING && blind && loop.now() < rightUntil && loop.now() - wonAt > holdMs) {
                     // The hold is renewed and nothing can be read, as where the state service is too slow for it.
                     handOver("this controller cannot read what changes");
                     break;
@@ -334,6 +336,7 @@
 
     private void won(long lease, long revision, long sent) {
         hold = lease;
+        wonAt = loop.now();
         token = revision;
         rightUntil = right(sent);
         renewed = sent;
--- a/emulator/src/main/java/org/landingridge/emulator/Rules.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Rules.java
@@ -15,6 +15,9 @@
     public final Map<String, JobSpec> specs = new HashMap<>();
     /** What users were told last: accepted, done or cancelled. */
     public final Map<String, String> told = new HashMap<>();
+    private final Map<String, Long> answeredAt = new HashMap<>();
+    /** When a user was first told that the job is done or cancelled. */
+    private final Map<String, Long> overAt = new HashMap<>();
     public final Map<String, Long> cancelledAt = new HashMap<>();
     public final Set<String> cancelAsked = new HashSet<>();
     /** Where each task is, by task name. */
@@ -134,13 +137,27 @@
         }
     }
 
+    /** Every accepted job of which no user has had an answer since is forgotten. */
+    public void unanswered(long since) {
+        told.keySet().stream().filter(id -> answeredAt.get(id) < since).sorted().limit(20)
+                .forEach(id -> broke("forgotten", id + " is " + told.get(id) + " and gets no answer since " + answeredAt.get(id)));
+    }
+
     public void everySecond() {
         places.keySet().forEach(this::late);
     }
 
-    /** An answer to a user about a job. */
-    public void answered(String id, String asked, int status, String state) {
+    /**
+     * An answer to a user about a job. One to a question that was asked before the job was called over may have been given
+     * before, too: then it is not an older answer after a newer one, only a slower one.
+     *
+     * @param askedAt when the question was sent
+     */
+    public void answered(String id, String asked, long askedAt, int status, String state) {
         String before = told.get(id);
+        if (askedAt < overAt.getOrDefault(id, 0L) && status < 400 && !state.equals("done") && !state.equals("cancelled")) {
+            return;
+        }
         if (status == 404 && before != null) {
             broke("forgotten", id + " was " + before + " and gets 404");
         }
@@ -171,6 +188,10 @@
         if (state.equals("cancelled")) {
             cancelledAt.putIfAbsent(id, loop.now());
         }
+        answeredAt.put(id, loop.now());
+        if (state.equals("done") || state.equals("cancelled")) {
+            overAt.putIfAbsent(id, loop.now());
+        }
         told.put(id, state.equals("done") || state.equals("cancelled") ? state : "accepted");
     }
 }
--- a/emulator/src/main/java/org/landingridge/emulator/Sim.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Sim.java
@@ -14,6 +14,9 @@
 
 /** Simulated time and network. Everything happens on one thread, in an order that the seed decides. */
 public final class Sim {
+    /** Something that waits for the end of a cut. */
+    private record Held(String way, Runnable go) {}
+
     private record Event(long at, long order, Host host, int life, Runnable task, boolean[] cancelled) {}
 
     /** A machine with a power switch; timers of an earlier life never fire. */
@@ -67,12 +70,13 @@
             a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private final Map<String, Server> servers = new HashMap<>();
     private final Map<String, Host> hosts = new HashMap<>();
-    private final Set<String> cuts = new HashSet<>();
+    /** Ways that are cut, by how many cuts. */
+    private final Map<String, Integer> cuts = new HashMap<>();
     /** Nanoseconds are this machine's: they tell what work costs, and decide nothing. */
     public boolean measured;
     /** What is sent into a cut is lost instead of held. */
     public boolean dropping;
-    private final List<Runnable> held = new ArrayList<>();
+    private final List<Held> held = new ArrayList<>();
     /** Hosts that can send, and to which nothing arrives. */
     public final Set<String> deaf = new HashSet<>();
     /** Share of messages of which a copy is delivered again late, by target host; the empty name stands for all. */
@@ -115,19 +119,28 @@
 
     /** Cuts the way between two hosts; what is sent meanwhile is held and delivered at the end of the cut. */
     public void cut(String a, String b) {
-        cuts.add(a + ">" + b);
-        cuts.add(b + ">" + a);
+        cuts.merge(a + ">" + b, 1, Integer::sum);
+        cuts.merge(b + ">" + a, 1, Integer::sum);
+    }
+
+    /** Ends one cut between two hosts. */
+    public void heal(String a, String b) {
+        for (String way : List.of(a + ">" + b, b + ">" + a)) {
+            cuts.computeIfPresent(way, (w, n) -> n == 1 ? null : n - 1);
+        }
+        release();
     }
 
+    /** Ends all cuts. */
     public void heal() {
         cuts.clear();
-        List<Runnable> late = new ArrayList<>(held);
-        held.clear();
-        late.forEach(Runnable::run);
+        release();
     }
 
-    private boolean isCut(Host a, Host b) {
-        return cuts.contains(a.name + ">" + b.name);
+    private void release() {
+        List<Held> late = held.stream().filter(h -> !cuts.containsKey(h.way)).toList();
+        held.removeAll(late);
+        late.forEach(h -> h.go.run());
     }
 
     long latency() {
@@ -146,9 +159,10 @@
                 to.after(latency() + random.nextLong(copiedWithinMs), task);
             }
         };
-        if (isCut(from, to)) {
+        String way = from.name + ">" + to.name;
+        if (cuts.containsKey(way)) {
             if (!dropping) {
-                held.add(go);
+                held.add(new Held(way, go));
             }
         } else {
             go.run();
--- a/emulator/src/main/java/org/landingridge/emulator/StateService.java
+++ b/emulator/src/main/java/org/landingridge/emulator/StateService.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.random.RandomGenerator;
 import org.landingridge.net.Http.Exchange;
 import org.landingridge.net.Loop;
 import org.landingridge.wire.Json;
@@ -20,10 +21,33 @@
     /** An answer holds no more entries, and no more bytes, than this. */
     private static final int PAGE_ENTRIES = 1_000;
     private static final int PAGE_BYTES = 512 * 1024;
+    private static final int LATE_MS = 2_000;
+    private static final int LATEST_MS = 12_000;
 
     /** A value with the revision of its last change and the lease that it is bound to, 0 for none. */
     public record Entry(JsonNode value, long version, long lease) {}
 
+    /** Who gave up on a transaction before it was carried out. */
+    private static final Exchange NOBODY = new Exchange() {
+        @Override
+        public String method() {
+            return "POST";
+        }
+
+        @Override
+        public String path() {
+            return "/commit";
+        }
+
+        @Override
+        public byte[] body() {
+            return new byte[0];
+        }
+
+        @Override
+        public void answer(int status, byte[] json, int retryAfterS) {}
+    };
+
     private record Change(long revision, String key, JsonNode value) {}
 
     private record Watch(String client, String prefix, long after, Exchange exchange) {}
@@ -63,6 +87,9 @@
     public int valueBytes = 4096;
     /** So many changes are kept for watches. */
     public int keptChanges = 10_000;
+    /** Share of transactions that get no answer and are carried out later, after newer ones; and by whose chance. */
+    private double lateWrites;
+    private RandomGenerator random;
     /** Conditions on keys under these prefixes are taken to hold: to see what breaks without them. */
     public final Set<String> blindTo = new HashSet<>();
     private double requestsLeft;
@@ -144,6 +171,12 @@
         }
     }
 
+    /** From now on so large a share of transactions gets no answer, and is carried out 2 to 12 s later; 0 ends it. */
+    public void lateWrites(double share, RandomGenerator chance) {
+        lateWrites = share;
+        random = chance;
+    }
+
     /** Refuses one client alone, or serves it again. */
     public void refuse(String client, boolean on) {
         if (on) {
@@ -306,7 +339,11 @@
                 x.answer(200, Json.bytes(n));
             }
         } else if (path.equals("/commit")) {
-            commit(body, x);
+            if (lateWrites > 0 && random.nextDouble() < lateWrites) {
+                loop.after(LATE_MS + random.nextInt(LATEST_MS - LATE_MS), () -> commit(body, NOBODY));
+            } else {
+                commit(body, x);
+            }
         } else if (path.equals("/holds")) {
             long lease = ++nextLease;
             long life = body.get("lifeMs").longValue();
--- a/experiment/src/main/java/org/landingridge/experiment/Experiment.java
+++ b/experiment/src/main/java/org/landingridge/experiment/Experiment.java
@@ -26,21 +26,28 @@
  * @param ended jobs that ended before, in segments or with a key each
  */
 public record Experiment(String name, List<Long> seeds, int durationS, int controllers, int machines, int up,
-        double bootS, double reportS, double leaseS, Settings.State state, int ended, HistoryProbe.Form form,
-        Map<String, Settings.Team> teams, List<Arrivals> arrivals, List<Fault> faults) {
+        double bootS, double reportS, double leaseS, double cancelS, Settings.State state, int ended, HistoryProbe.Form form,
+        Map<String, Settings.Team> teams, List<Arrivals> arrivals, List<Fault> faults, Meetings meetings) {
 
     /** A class of jobs: so many at the start, and then by chance so many a minute. */
     public record Arrivals(String jobClass, String team, boolean service, int tasksMin, int tasksMax, double cpus,
             double runS, double perMinute, int initial, double fromS, double untilS, Priority priority, double checkpointS,
             double mistaken, double cancelled) {}
 
+    /**
+     * Troubles that meet: so many times between two moments, two or three of these kinds within some seconds, drawn anew for
+     * each seed.
+     */
+    public record Meetings(int count, double fromS, double untilS, List<Fault.Kind> kinds) {}
+
     /** Something that goes wrong. */
     public record Fault(double atS, Kind kind, double forS, int count, double share) {
         public enum Kind {
             CRASH_LEADER, CRASH_ALL, STATE_OUTAGE, CUT_LEADER_STATE, CUT_LEADER_WORKERS, HANG_MACHINES, LOSE_MACHINES, LOSE_ZONE,
             CUT_ZONE,
             LOST_ANSWERS, FREEZE_LEADER, FREEZE_ALL, REFUSE_LEADER_STATE, CUT_LEADER_PEERS, RESTART_MACHINES, BOOT_TROUBLE,
-            POLL_STORM, COPIES
+            POLL_STORM, COPIES, LATE_WRITES, LATE_REPORTS, DEAF_MACHINES, CUT_LEADER_STATE_PEERS, CRASH_OTHER, HOLD_ORDERS,
+            REFUSE_OTHER_STATE
         }
     }
 
@@ -98,9 +105,17 @@
         List<Fault> faults = new ArrayList<>();
         for (JsonNode f : n.path("faults")) {
             faults.add(new Fault(f.get("at_s").doubleValue(),
-                    Fault.Kind.valueOf(f.get("kind").textValue().toUpperCase(java.util.Locale.ROOT)),
+                    kind(f.get("kind")),
                     f.path("for_s").asDouble(3), f.path("count").asInt(1), f.path("share").asDouble(0.2)));
         }
+        JsonNode m = n.path("meetings");
+        List<Fault.Kind> kinds = new ArrayList<>();
+        m.path("kinds").forEach(k -> kinds.add(kind(k)));
+        Meetings meetings = new Meetings(m.path("count").asInt(0), m.path("from_s").asDouble(0), m.path("until_s").asDouble(0),
+                kinds);
+        if (meetings.count > 0 && meetings.untilS <= meetings.fromS) {
+            throw new BadSettings(file + ": meetings.until_s: expected more than from_s, " + meetings.fromS);
+        }
         JsonNode c = n.path("cluster");
         JsonNode s = n.path("state");
         int machines = c.path("machines").asInt(20);
@@ -112,11 +127,15 @@
         n.get("seeds").forEach(x -> seeds.add(x.longValue()));
         return new Experiment(n.get("name").textValue(), seeds, n.get("duration_s").intValue(),
                 c.path("controllers").asInt(3), machines, up, c.path("boot_s").asDouble(3), c.path("report_s").asDouble(1),
-                c.path("lease_s").asDouble(8),
+                c.path("lease_s").asDouble(8), c.path("cancel_s").asDouble(World.CANCEL_MS / 1000.0),
                 new Settings.State(s.path("rps").asDouble(250), s.path("write_rps").asDouble(50),
                         s.path("value_kb").asDouble(4), s.path("txn_ops").asInt(8)),
                 n.path("history").path("ended").asInt(0),
                 n.path("history").path("form").asText("segments").equals("keys") ? HistoryProbe.Form.KEYS
-                        : HistoryProbe.Form.SEGMENTS, teams, arrivals, faults);
+                        : HistoryProbe.Form.SEGMENTS, teams, arrivals, faults, meetings);
+    }
+
+    private static Fault.Kind kind(JsonNode name) {
+        return Fault.Kind.valueOf(name.textValue().toUpperCase(java.util.Locale.ROOT));
     }
 }
--- a/experiment/src/main/java/org/landingridge/experiment/ExperimentCommand.java
+++ b/experiment/src/main/java/org/landingridge/experiment/ExperimentCommand.java
@@ -5,7 +5,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Comparator;
 import java.util.concurrent.Callable;
+import java.util.stream.Collectors;
+import java.util.stream.LongStream;
 import org.landingridge.controller.config.BadSettings;
 import org.landingridge.controller.obs.Chronicle;
 import org.landingridge.wire.Json;
@@ -28,6 +31,10 @@
             description = "where the controllers' events go, one JSON object a line")
     private Path events;
 
+    @Option(names = "--seeds", paramLabel = "A..B",
+            description = "instead of the file's seeds all of these, on all cores; only what was broken or unserved is told")
+    private String seeds;
+
     @Override
     public Integer call() throws Exception {
         Experiment plan;
@@ -37,6 +44,9 @@
             System.err.println("landingridge: " + e.getMessage());
             return 2;
         }
+        if (seeds != null) {
+            return search(plan);
+        }
         List<Play.Outcome> outcomes = new ArrayList<>();
         for (long seed : plan.seeds()) {
             Play.Outcome o = Play.once(plan, seed);
@@ -72,4 +82,33 @@
         return outcomes.stream().allMatch(o -> o.broken().isEmpty()
                 && o.served().stream().noneMatch(Served.Figure::unserved)) ? 0 : 1;
     }
+
+    /** Plays many seeds and tells of those that broke a rule or left a class unserved. */
+    private int search(Experiment plan) {
+        String[] ends = seeds.split("\\.\\.");
+        long first;
+        long last;
+        try {
+            first = Long.parseLong(ends[0]);
+            last = Long.parseLong(ends[ends.length - 1]);
+        } catch (NumberFormatException e) {
+            System.err.println("landingridge: --seeds: expected A..B, two whole numbers, got " + seeds);
+            return 2;
+        }
+        long began = System.nanoTime();
+        int bad = LongStream.rangeClosed(first, last).parallel().mapToInt(seed -> {
+            Play.Outcome o = Play.once(plan, seed, false);
+            List<String> wrong = new ArrayList<>(o.broken().stream().limit(5).toList());
+            o.served().stream().filter(Served.Figure::unserved).forEach(f -> wrong.add("unserved: " + f));
+            if (!wrong.isEmpty()) {
+                System.out.println("seed " + seed + ": " + wrong + Play.meetings(plan, seed).stream().sorted(
+                        Comparator.comparingDouble(Experiment.Fault::atS)).map(f -> String.format("%n  at %.1f s %s for %.1f s (%d, %.2f)",
+                        f.atS(), f.kind(), f.forS(), f.count(), f.share())).collect(Collectors.joining()));
+            }
+            return wrong.isEmpty() ? 0 : 1;
+        }).sum();
+        System.out.printf("%d seeds, %d with a rule broken or a class unserved, in %.1f s%n", last - first + 1, bad,
+                (System.nanoTime() - began) / 1e9);
+        return bad == 0 ? 0 : 1;
+    }
 }
--- a/experiment/src/main/java/org/landingridge/experiment/Play.java
+++ b/experiment/src/main/java/org/landingridge/experiment/Play.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.landingridge.controller.store.Keys;
 import org.landingridge.emulator.Truth;
 import org.landingridge.emulator.Worker;
@@ -29,6 +30,7 @@
             int requests, int mostWrites, long leaderKb, double tookS) {}
 
     private static final int FIRST = 100_000;
+    private static final int LAST_POLL_S = 15;
     private final Experiment plan;
     private final World world;
     private final SplittableRandom random;
@@ -49,7 +51,8 @@
         this.plan = plan;
         this.random = new SplittableRandom(seed);
         world = new World(new World.Setup(seed, plan.controllers(), plan.machines(), Math.round(plan.bootS() * 1000),
-                Math.round(plan.reportS() * 1000), Math.round(plan.leaseS() * 1000), plan.teams(), plan.state()));
+                Math.round(plan.reportS() * 1000), Math.round(plan.leaseS() * 1000), Math.round(plan.cancelS() * 1000),
+                plan.teams(), plan.state()));
         world.sim.measured = true;
         orders = new OrderBook(() -> world.sim.now, id -> world.workers.stream().anyMatch(w -> w.box().id.equals(id)
                 && !w.hangs()), world.rules.cancelAsked::contains);
@@ -58,10 +61,46 @@
     }
 
     static Outcome once(Experiment plan, long seed) {
-        return new Play(plan, seed).run(seed);
+        return once(plan, seed, true);
     }
 
-    private Outcome run(long seed) {
+    /** @param weigh what the leader holds in memory is measured too, which takes a while and wants to be alone */
+    static Outcome once(Experiment plan, long seed, boolean weigh) {
+        return new Play(plan, seed).run(seed, weigh);
+    }
+
+    /** The meetings of this seed, as troubles with their times. */
+    static List<Experiment.Fault> meetings(Experiment plan, long seed) {
+        Experiment.Meetings m = plan.meetings();
+        SplittableRandom random = new SplittableRandom(~seed);
+        List<Experiment.Fault> drawn = new ArrayList<>();
+        for (int i = 0; i < m.count(); i++) {
+            double at = m.fromS() + random.nextDouble() * (m.untilS() - m.fromS());
+            for (int troubles = 2 + random.nextInt(2); troubles > 0; troubles--) {
+                // Within a second of each other, or some; over at once, after a while, or not before cancel_s has passed.
+                double offset = random.nextDouble() * (random.nextBoolean() ? 1.5 : 6);
+                double forS = switch (random.nextInt(3)) {
+                    case 0 -> 0.05 + random.nextDouble();
+                    case 1 -> 2 + random.nextDouble() * plan.leaseS();
+                    default -> plan.leaseS() + random.nextDouble() * 1.3 * plan.cancelS();
+                };
+                drawn.add(new Experiment.Fault(at + offset, m.kinds().get(random.nextInt(m.kinds().size())),
+                        Math.min(forS, m.untilS() + plan.cancelS() - at - offset), 1 + random.nextInt(4),
+                        0.1 + 0.4 * random.nextDouble()));
+            }
+        }
+        return drawn;
+    }
+
+    /** Users ask for all they have submitted: every job that was accepted must find an answer. */
+    private void askForAll() {
+        for (int i = 0; i < ids.size(); i++) {
+            String id = ids.get(i);
+            world.at(world.sim.now + i * 7_000L / ids.size(), () -> world.askOnce(id, "poll"));
+        }
+    }
+
+    private Outcome run(long seed, boolean weigh) {
         long began = System.nanoTime();
         if (plan.form() == HistoryProbe.Form.SEGMENTS) {
             World.past(world.state, FIRST, plan.ended());
@@ -77,6 +116,8 @@
         world.enforceLimits();
         plan.arrivals().forEach(this::arrive);
         plan.faults().forEach(f -> world.at(Math.round(f.atS() * 1000), () -> begin(f)));
+        meetings(plan, seed).forEach(f -> world.at(Math.round(f.atS() * 1000), () -> begin(f)));
+        world.at((plan.durationS() - LAST_POLL_S) * 1_000L, this::askForAll);
         long end = plan.durationS() * 1000L;
         for (long t = 100; t <= end; t += 100) {
             world.sim.run(t);
@@ -85,7 +126,8 @@
                 sample((int) (t / 1_000));
             }
         }
-        long leaderKb = leaderKb();
+        world.rules.unanswered((plan.durationS() - LAST_POLL_S) * 1_000L);
+        long leaderKb = weigh ? leaderKb() : 0;
         return new Outcome(seed, List.copyOf(world.rules.broken), submitted, (int) world.over("done"),
                 (int) world.over("cancelled"), world.rules.repeats, world.state.tooMany, samples, recoveries.stream().map(Recovery::result).toList(), orders.counts(),
                 List.copyOf(world.events), world.admissions.result(), served.figures(world.rules, plan.durationS(),
@@ -143,21 +185,16 @@
             }
             case CUT_LEADER_STATE -> {
                 if (leader != null) {
-                    world.sim.cut(leader.host.name, "state");
-                    world.at(world.sim.now + forMs, world.sim::heal);
+                    cut(List.of(leader.host.name), List.of("state"), forMs);
                 }
             }
             case CUT_LEADER_WORKERS -> {
                 if (leader != null) {
-                    world.workers.forEach(w -> world.sim.cut(leader.host.name, w.box().id));
-                    world.at(world.sim.now + forMs, world.sim::heal);
+                    cut(List.of(leader.host.name), names(world.workers), forMs);
                 }
             }
             case LOSE_ZONE -> zone().forEach(w -> world.cloud.delete(w.box().id));
-            case CUT_ZONE -> {
-                zone().forEach(w -> world.nodes.forEach(n -> world.sim.cut(n.host.name, w.box().id)));
-                world.at(world.sim.now + forMs, world.sim::heal);
-            }
+            case CUT_ZONE -> cut(hosts(null), names(zone()), forMs);
             case HANG_MACHINES -> some(f.count()).forEach(w -> {
                 w.hang(true);
                 world.at(world.sim.now + forMs, () -> w.hang(false));
@@ -177,10 +214,39 @@
             }
             case CUT_LEADER_PEERS -> {
                 if (leader != null) {
-                    world.nodes.stream().filter(n -> n != leader).forEach(n -> world.sim.cut(leader.host.name, n.host.name));
-                    world.at(world.sim.now + forMs, world.sim::heal);
+                    cut(List.of(leader.host.name), hosts(leader), forMs);
                 }
             }
+            case CUT_LEADER_STATE_PEERS -> {
+                if (leader != null) {
+                    cut(List.of(leader.host.name), hosts(leader), forMs);
+                    cut(List.of(leader.host.name), List.of("state"), forMs);
+                }
+            }
+            case CRASH_OTHER -> other(leader, n -> n.crash(forMs));
+            case REFUSE_OTHER_STATE -> other(leader, n -> {
+                world.state.refuse(n.host.name, true);
+                world.at(world.sim.now + forMs, () -> world.state.refuse(n.host.name, false));
+            });
+            // What is sent straight to them, and its answers, are held up; their reports find another way.
+            case HOLD_ORDERS -> {
+                if (leader != null) {
+                    cut(List.of(leader.host.name), names(some(f.count())), forMs);
+                }
+            }
+            case DEAF_MACHINES -> {
+                List<String> deaf = names(some(f.count()));
+                world.sim.deaf.addAll(deaf);
+                world.at(world.sim.now + forMs, () -> deaf.forEach(world.sim.deaf::remove));
+            }
+            case LATE_WRITES -> {
+                world.state.lateWrites(f.share(), world.sim.random);
+                world.at(world.sim.now + forMs, () -> world.state.lateWrites(0, null));
+            }
+            case LATE_REPORTS -> {
+                world.lateReports = f.share();
+                world.at(world.sim.now + forMs, () -> world.lateReports = 0);
+            }
             case RESTART_MACHINES -> some(f.count()).forEach(w -> world.restart(w, forMs));
             case BOOT_TROUBLE -> {
                 world.cloud.neverUp = f.share();
@@ -210,6 +276,28 @@
         world.at(world.sim.now + 100, () -> storm(perS, until));
     }
 
+    private void cut(List<String> hosts, List<String> others, long forMs) {
+        hosts.forEach(a -> others.forEach(b -> world.sim.cut(a, b)));
+        world.at(world.sim.now + forMs, () -> hosts.forEach(a -> others.forEach(b -> world.sim.heal(a, b))));
+    }
+
+    /** The controllers' hosts, one left out. */
+    private List<String> hosts(World.Node without) {
+        return world.nodes.stream().filter(n -> n != without).map(n -> n.host.name).toList();
+    }
+
+    private static List<String> names(List<Worker> workers) {
+        return workers.stream().map(w -> w.box().id).toList();
+    }
+
+    /** Something befalls one of the controllers that do not lead. */
+    private void other(World.Node leader, Consumer<World.Node> what) {
+        List<World.Node> up = world.nodes.stream().filter(n -> n != leader && n.host.up).toList();
+        if (!up.isEmpty()) {
+            what.accept(up.get(random.nextInt(up.size())));
+        }
+    }
+
     /** The machines of one zone. */
     private List<Worker> zone() {
         return world.workers.stream().filter(w -> w.box().zone.equals("b")).toList();
--- a/experiment/src/main/java/org/landingridge/experiment/World.java
+++ b/experiment/src/main/java/org/landingridge/experiment/World.java
@@ -6,9 +6,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.landingridge.controller.Controller;
 import org.landingridge.controller.config.Policy;
@@ -44,10 +46,16 @@
      * @param machines of spot and of ordinary machines each, how many the cloud has; 4 processors a machine
      * @param bootMs   until a machine that was rented is up
      * @param teams    by name
+     * @param cancelMs within which the tasks of a job are gone whose user was told that it is cancelled
      * @param state    the state service's limits, as the controllers are told; see {@link #enforceLimits}
      */
-    record Setup(long seed, int controllers, int machines, long bootMs, long reportMs, long leaseMs,
+    record Setup(long seed, int controllers, int machines, long bootMs, long reportMs, long leaseMs, long cancelMs,
             Map<String, Settings.Team> teams, Settings.State state) {
+        Setup(long seed, int controllers, int machines, long bootMs, long reportMs, long leaseMs,
+                Map<String, Settings.Team> teams, Settings.State state) {
+            this(seed, controllers, machines, bootMs, reportMs, leaseMs, CANCEL_MS, teams, state);
+        }
+
         /** A small one, with two teams; the first has a limit. */
         static Setup small(long seed, double teamLimit, int controllers) {
             Map<String, Settings.Team> teams = new LinkedHashMap<>();
@@ -83,11 +91,28 @@
         Node(int index) {
             this.index = index;
             this.host = sim.host("rig-" + index);
-            sim.listen(nodeAddr(index), host, x -> controller.serve(x));
+            sim.listen(nodeAddr(index), host, x -> {
+                if (x.path().equals("/hello") && !unheard.isEmpty() && unheard.contains(Json.text(Json.parse(x.body()), "box"))) {
+                    return;
+                }
+                if (x.path().equals("/hello") && lateReports > 0 && sim.random.nextDouble() < lateReports) {
+                    again(x, 2_000 + sim.random.nextLong(5 * setup.leaseMs / 2));
+                }
+                controller.serve(x);
+            });
             sim.listen("state-" + index, stateHost, state.as("rig-" + index));
             boot();
         }
 
+        /** A copy of a report comes late; nobody waits for its answer. */
+        private void again(Http.Exchange report, long lateMs) {
+            users.after(lateMs, () -> {
+                if (host.up) {
+                    controller.serve(new Copy(report));
+                }
+            });
+        }
+
         void boot() {
             host.up = true;
             List<Settings.Peer> peers = new ArrayList<>();
@@ -99,7 +124,7 @@
             Settings settings = new Settings("rig-" + index, "a", new InetSocketAddress("127.0.0.1", 1),
                     new InetSocketAddress("127.0.0.1", 2), peers, "cloud", "state-" + index, List.of("a", "b"), 25,
                     setup.teams, List.of(), new Settings.Workers(setup.reportMs / 1000.0, setup.leaseMs / 1000.0,
-                    CANCEL_MS / 1000.0), setup.state, new Settings.Cloud(5, LAG_MS / 1000.0),
+                    setup.cancelMs / 1000.0), setup.state, new Settings.Cloud(5, LAG_MS / 1000.0),
                     new Settings.Machine(1, 200, 1000));
             controller = new Controller(host, sim.client(host), (to, message) -> {
                 Node peer = nodes.get(indexOf(to));
@@ -126,8 +151,33 @@
         }
     }
 
+    /** A request as it was sent, with nobody at its other end. */
+    private record Copy(Http.Exchange of) implements Http.Exchange {
+        @Override
+        public String method() {
+            return of.method();
+        }
+
+        @Override
+        public String path() {
+            return of.path();
+        }
+
+        @Override
+        public byte[] body() {
+            return of.body();
+        }
+
+        @Override
+        public void answer(int status, byte[] json, int retryAfterS) {}
+    }
+
     private final Sim.Host stateHost;
     private final int controllers;
+    /** Machines whose reports are lost, while they hear and answer calls. */
+    final Set<String> unheard = new HashSet<>();
+    /** Share of the workers' reports of which a copy comes again, up to two and a half leases later. */
+    double lateReports;
 
     World(long seed, double teamLimit) {
         this(seed, teamLimit, 3);
@@ -142,7 +192,7 @@
         this.controllers = setup.controllers;
         sim = new Sim(setup.seed);
         users = sim.host("users");
-        rules = new Rules(users, CANCEL_MS);
+        rules = new Rules(users, setup.cancelMs);
         setup.teams.values().forEach(t -> rules.limits.put(t.name(), t.cpusMax()));
         stateHost = sim.host("state");
         state = new StateService(stateHost);
@@ -261,12 +311,13 @@
     }
 
     private void ask(int node, String id, String what, String method, String path, byte[] body, int tries) {
+        long askedAt = sim.now;
         sim.client(users).call(nodeAddr(node), method, path, body, 5_000, reply -> {
             boolean settled = false;
             if (reply.outcome() == Http.Outcome.ANSWERED) {
                 JsonNode n = Json.parse(reply.body());
                 String state = n == null || !n.has("status") ? "" : n.get("status").textValue();
-                rules.answered(id, what, reply.status(), state);
+                rules.answered(id, what, askedAt, reply.status(), state);
                 if (what.equals("submit") && reply.status() / 100 == 2) {
                     admissions.accepted(id, sim.now);
                 }
--- a/experiment/src/test/java/org/landingridge/experiment/MeetingsTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/MeetingsTest.java
@@ -81,6 +81,10 @@
     void theCancellerBeginsAnew(long seed, long back) {
         World w = busy(510 + seed, 3);
         World.Node other = gap(w, 900);
+        // Nobody else has heard of the cancellations: they would tell of them.
+        String third = w.nodes.get(3 - w.leader().index - other.index).host.name;
+        w.at(46_000, () -> w.state.refuse(third, true));
+        w.at(60_000, () -> w.state.refuse(third, false));
         w.at(46_100 + CANCELLED * 20L + 60, () -> other.crash(back));
         over(w);
     }
@@ -182,4 +186,33 @@
         kept(w);
         assertEquals(starts, w.rules.starts, "nothing was lost");
     }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    @DisplayName("machines whose reports are lost begin a session, and get starts by calls: its lease counts, not the last one's")
+    void aSessionBeginsThatNobodyAnswered(long seed) {
+        World w = busy(580 + seed, 3);
+        w.at(46_000, () -> w.workers.stream().filter(x -> x.running() != null).forEach(x -> w.unheard.add(x.box().id)));
+        w.at(46_050, () -> w.leader().crash(20_000));
+        w.at(90_000, w.unheard::clear);
+        w.sim.run(150_000);
+        kept(w);
+        assertEquals(4 + 2 * JOBS, w.rules.places.size());
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    @DisplayName("a leader stands still while another controller is refused: it carries reports to the new one, which it only hears")
+    void aRefusedOneSendsNobodyToTheOldLeader(long seed) {
+        World w = busy(590 + seed, 3);
+        int starts = w.rules.starts;
+        World.Node leader = w.leader();
+        World.Node refused = w.nodes.get((leader.index + 1) % 3);
+        w.at(46_000, () -> w.state.refuse(refused.host.name, true));
+        w.at(46_500, () -> leader.host.freeze(20_000));
+        w.at(80_000, () -> w.state.refuse(refused.host.name, false));
+        w.sim.run(120_000);
+        kept(w);
+        assertEquals(starts, w.rules.starts, "nobody was sent around for a lease");
+    }
 }
--- a/experiment/src/test/java/org/landingridge/experiment/RulesTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/RulesTest.java
@@ -14,6 +14,8 @@
 /** The checker itself: for each rule, a history that breaks it is caught, and a lawful one is not. */
 class RulesTest {
     private static final String ID = "job-000001";
+    /** A question that was asked after all that is told here. */
+    private static final long LATER = Long.MAX_VALUE;
 
     private static void caught(String rule, Consumer<Rules> history) {
         Sim sim = new Sim(1);
@@ -26,6 +28,22 @@
         assertTrue(rules.broken.get(0).contains(rule), rules.broken.toString());
     }
 
+    @Test
+    void aSlowAnswerIsNoOlderOne() {
+        Sim sim = new Sim(1);
+        Rules rules = new Rules(sim.host("rules"), 1_000);
+        rules.specs.put(ID, new JobSpec(ID, "c", "red", false, Priority.NORMAL, 4, 3, 0, 1, "i", 1, null, null,
+                false, false, false, 1, 0, 0, null));
+        rules.cancelAsked.add(ID);
+        sim.run(100);
+        rules.answered(ID, "cancel", 90, 200, "cancelled");
+        rules.answered(ID, "poll", 99, 200, "queued");
+        assertEquals(List.of(), rules.broken);
+        rules.answered(ID, "poll", 99, 404, "");
+        rules.answered(ID, "poll", 100, 200, "queued");
+        assertEquals(2, rules.broken.size(), rules.broken.toString());
+    }
+
     @Test
     void everyRuleIsCaught() {
         caught("ran_twice", r -> {
@@ -45,23 +63,23 @@
                 r.starts(ID + "/" + i, "m-1", "t4", "a", false);
                 r.ends(ID + "/" + i, true);
             }
-            r.answered(ID, "poll", 200, "done");
+            r.answered(ID, "poll", LATER, 200, "done");
         });
         caught("forgotten", r -> {
-            r.answered(ID, "submit", 201, "queued");
-            r.answered(ID, "poll", 404, "");
+            r.answered(ID, "submit", LATER, 201, "queued");
+            r.answered(ID, "poll", LATER, 404, "");
         });
         caught("forgotten", r -> {
-            r.answered(ID, "submit", 201, "queued");
-            r.answered(ID, "submit", 422, "");
+            r.answered(ID, "submit", LATER, 201, "queued");
+            r.answered(ID, "submit", LATER, 422, "");
         });
-        caught("invented", r -> r.answered("job-000002", "poll", 200, "queued"));
+        caught("invented", r -> r.answered("job-000002", "poll", LATER, 200, "queued"));
         caught("went_back", r -> {
             r.cancelAsked.add(ID);
-            r.answered(ID, "cancel", 200, "cancelled");
-            r.answered(ID, "poll", 200, "queued");
+            r.answered(ID, "cancel", LATER, 200, "cancelled");
+            r.answered(ID, "poll", LATER, 200, "queued");
         });
-        caught("went_back", r -> r.answered(ID, "poll", 200, "cancelled"));
+        caught("went_back", r -> r.answered(ID, "poll", LATER, 200, "cancelled"));
     }
 
     @Test
@@ -69,7 +87,7 @@
         World w = new World(1, 0);
         w.rules.specs.put(ID, World.job(1, "blue", false, 1, 1, 5));
         w.rules.cancelAsked.add(ID);
-        w.rules.answered(ID, "cancel", 200, "cancelled");
+        w.rules.answered(ID, "cancel", LATER, 200, "cancelled");
         w.sim.run(World.CANCEL_MS - 1_000);
         w.rules.starts(ID + "/0", "m-1", "t4", "a", false);
         assertEquals(List.of(), w.rules.broken);
