Last words of an earlier life: a token never shrinks, and whose lease ran out unheard begins anew

Cause: reports held up behind a cut, or copied, of a machine that was restarted since under its old name arrived at a leader that knew only the new life, with a session or a sequence beyond it: what ran there was taken for gone and placed again (ran_twice). Change: a report that shows a lower token than its machine has shown says nothing; a machine whose lease ran out before this leader heard it is known again under a higher token only. Test: MeetingsTest.theLastWordsOfAnEarlierLife.

--- a/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
@@ -560,7 +560,8 @@
             }
             stuck |= m.state() == Machine.State.UP && orders.withdrawn(m, now);
             kept = Math.max(kept, orders.kept(m));
-            if (m.life() == Machine.Life.ANEW) {
+            // One whose lease ran out unheard is not asked: it may well be gone for good, and says when it is back.
+            if (m.life() == Machine.Life.ANEW && (m.state() != Machine.State.LAPSED || m.older > 0)) {
                 anew |= lead.token() <= m.lifeAbove;
                 orders.ask(m);
             }
@@ -613,6 +614,13 @@
             incidents.say(m.id + " fell silent and its lease ran out"
                     + (held > 0 ? "; " + held + " tasks are started elsewhere" : ""));
             m.to(Machine.State.LAPSED);
+            if (!m.everHeard()) {
+                // Which session ended nobody knows. What was reported in it may still arrive, after the first word of a life that
+                // began since: only a higher token tells them apart.
+                m.to(Machine.Life.ANEW);
+                m.lifeAbove = lead.token();
+                m.older = 0;
+            }
             // What is still reported under the old session was sent before the lease ran out.
             m.session++;
             m.seq = -1;
--- a/controller/src/main/java/org/landingridge/controller/fleet/Reports.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Reports.java
@@ -64,18 +64,22 @@
         m.images.clear();
         m.session = -1;
         m.seq = -1;
+        m.token = 0;
     }
 
     /** Takes over what a worker says; false if something newer is known already. */
     boolean merge(Machine m, Report r, boolean hello) {
         // Late reports of an earlier life would take tasks of the present one for gone.
         if (m.lifeAbove > 0 && r.token() <= m.lifeAbove) {
+            m.older++;
             return false;
         }
         if (m.life() == Machine.Life.ANEW) {
             begin(m);
         }
-        if (!newer(m, r)) {
+        // The highest token that a worker has seen only grows within a life. A report that shows less than is known was sent before,
+        // or by an earlier life whose sequence had come further: held up behind a cut, it would end what runs now.
+        if (!newer(m, r) || r.token() < m.token) {
             m.older++;
             return false;
         }
--- a/experiment/src/test/java/org/landingridge/experiment/MeetingsTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/MeetingsTest.java
@@ -215,4 +215,33 @@
         kept(w);
         assertEquals(starts, w.rules.starts, "nobody was sent around for a lease");
     }
+
+    /**
+     * A machine's last reports are held up behind a cut; it is back under its old name, a new leader gives it work, and then the
+     * old life's words arrive, with a sequence or a session beyond what the new life has come to.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, false", "2, false", "3, true", "4, true"})
+    void theLastWordsOfAnEarlierLife(long seed, boolean afterALapse) {
+        World w = busy(600 + seed, 3);
+        World.Node leader = w.leader();
+        World.Node next = w.nodes.get((leader.index + 1) % 3);
+        World.Node carrier = w.nodes.get((leader.index + 2) % 3);
+        List<Worker> lives = w.workers.stream().filter(x -> x.running() != null).toList();
+        List<String> names = lives.stream().map(x -> x.box().id).toList();
+        // The carrier cannot lead, and is the only one whom the machines reach; not at first where their leases are to run out.
+        w.at(45_900, () -> w.state.refuse(carrier.host.name, true));
+        w.at(46_000, () -> names.forEach(x -> w.sim.cut(next.host.name, x)));
+        w.at(46_100, () -> leader.crash(60_000));
+        if (afterALapse) {
+            w.at(46_000, () -> names.forEach(x -> w.sim.cut(carrier.host.name, x)));
+            w.at(62_000, () -> names.forEach(x -> w.sim.heal(carrier.host.name, x)));
+        }
+        w.at(afterALapse ? 60_000 : 52_000, () -> lives.forEach(x -> w.restart(x, 100)));
+        w.at(78_000, w.sim::heal);
+        w.at(100_000, () -> w.state.refuse(carrier.host.name, false));
+        w.sim.run(180_000);
+        kept(w);
+        assertEquals(4 + 2 * JOBS, w.rules.places.size());
+    }
 }
