--- a/controller/src/main/java/org/landingridge/controller/cli/RunCommand.java
+++ b/controller/src/main/java/org/landingridge/controller/cli/RunCommand.java
@@ -65,7 +65,13 @@
         long seed = settings.host().hashCode() * 0x9E3779B97F4A7C15L + System.currentTimeMillis();
         AtomicReference<Controller> controllerOf = new AtomicReference<>();
         XnioPeerNet peers = new XnioPeerNet(worker, loop, settings.peers(), settings.peerListen(),
-                message -> controllerOf.get().received(message));
+                message -> {
+                    // A process that is back at once hears the others before it is ready: such a record is lost, as any may be.
+                    Controller ready = controllerOf.get();
+                    if (ready != null) {
+                        ready.received(message);
+                    }
+                });
         Controller controller = new Controller(loop, client, peers, new SplittableRandom(seed), settings, policy);
         controllerOf.set(controller);
         HttpServer server = new HttpServer(worker, settings.listen(), JobSpec.MAX_BODY, controller::serve);
