--- a/controller/src/test/java/org/landingridge/controller/lead/PromisesTest.java
+++ b/controller/src/test/java/org/landingridge/controller/lead/PromisesTest.java
@@ -235,4 +235,24 @@
         }
         assertEquals(3_000, Leadership.blindMs(15, 20, 3_000), "where it cannot be kept, the lead still works");
     }
+
+    @Test
+    @DisplayName("a record that has let go of something the leader lacks gives no word; it comes in pages where it has all")
+    void theRecordIsBounded() {
+        JobTable table = new JobTable(loop::now, id -> { });
+        for (long revision = 1; revision <= 6_000; revision++) {
+            cancel(table, revision);
+        }
+        Endings endings = table.endings();
+        assertEquals(null, endings.after(0, 1_000), "what was stored after 1,000 is not all there any more");
+        List<Long> got = new ArrayList<>();
+        Endings.Page page = endings.after(0, 2_000);
+        for (int pages = 0; !page.complete() && pages < 9; pages++) {
+            page.endings().forEach(e -> got.add(e.revision()));
+            page = endings.after(page.to(), 2_000);
+        }
+        page.endings().forEach(e -> got.add(e.revision()));
+        assertEquals(4_000, got.size());
+        assertEquals(6_000L, got.get(3_999));
+    }
 }
