--- a/experiment/src/test/java/org/landingridge/experiment/Checks.java
+++ b/experiment/src/test/java/org/landingridge/experiment/Checks.java
@@ -22,4 +22,11 @@
         w.sim.run(30_000);
         assertEquals(count, w.rules.places.size());
     }
+
+    /** Ends a controller that is up; null where nobody leads. */
+    static void crash(World.Node node, long back) {
+        if (node != null && node.host.up) {
+            node.crash(back);
+        }
+    }
 }
--- a/experiment/src/test/java/org/landingridge/experiment/MeetingsTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/MeetingsTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.landingridge.experiment.Checks.crash;
 import static org.landingridge.experiment.Checks.kept;
 import static org.landingridge.experiment.Checks.services;
 
@@ -277,12 +278,6 @@
         }
     }
 
-    private static void crash(World.Node node, long back) {
-        if (node != null && node.host.up) {
-            node.crash(back);
-        }
-    }
-
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     @DisplayName("the lead goes to another and back, all end, one returns at once; words of former lives come late")
--- a/experiment/src/test/java/org/landingridge/experiment/QuickReturnTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/QuickReturnTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.landingridge.experiment.Checks.crash;
 import static org.landingridge.experiment.Checks.kept;
 import static org.landingridge.experiment.Checks.services;
 
@@ -97,12 +98,6 @@
         }
     }
 
-    private static void crash(World.Node node, long back) {
-        if (node != null && node.host.up) {
-            node.crash(back);
-        }
-    }
-
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     @DisplayName("a third of all messages comes again late, between any two parties, with takeovers and lost machines beside")
