--- a/controller/src/main/java/org/landingridge/controller/Controller.java
+++ b/controller/src/main/java/org/landingridge/controller/Controller.java
@@ -15,7 +15,6 @@
 import org.landingridge.controller.config.Settings;
 import org.landingridge.controller.history.History;
 import org.landingridge.controller.history.Place;
-import org.landingridge.controller.history.Roll;
 import org.landingridge.controller.jobs.Job;
 import org.landingridge.controller.jobs.JobTable;
 import org.landingridge.controller.lead.Leadership;
@@ -34,6 +33,8 @@
 import org.landingridge.controller.store.Keys;
 import org.landingridge.controller.store.Mirror;
 import org.landingridge.controller.store.StateClient;
+import org.landingridge.controller.upgrade.Capabilities;
+import org.landingridge.controller.users.JobLookup;
 import org.landingridge.controller.users.JobService;
 import org.landingridge.net.Http;
 import org.landingridge.net.Loop;
@@ -51,7 +52,9 @@
     private static final long STALE_MS = 2_500;
     private static final long OPEN_MS = 2_000;
     /** After a start the leases of hundreds of workers come first, and users' changes. */
-    private static final long ANNOUNCE_MS = 15_000;
+    private static final long ANNOUNCE_MS = 6_000;
+    /** Of the state service's changes a second, what the leader's documents may use. */
+    private static final double WRITER_SHARE = 0.5;
     /** A report waits so long for a leader to be known; the worker gives up after 4 s. */
     private static final long PARK_MS = 1_500;
     private static final int MOST_PARKED_BYTES = 8 << 20;
@@ -62,7 +65,7 @@
     private final Mirror mirror;
     private final JobTable table;
     private final History history;
-    private final Roll roll;
+    private final Capabilities capabilities;
     private final Metrics metrics;
     private final IncidentReport incidents;
     private final Chronicle chronicle;
@@ -104,19 +107,20 @@
         history = new History(client, mirror, metrics);
         this.peers = peers;
         others = settings.peers().stream().map(Settings.Peer::host).toList();
-        roll = new Roll(client, mirror, loop, settings.host(), others);
+        capabilities = new Capabilities(client, mirror, loop, settings.host(), others);
         relay = new Relay(loop, peers, random, settings.host(), mostReports());
         long holdMs = Math.round(policy.leaderHoldS() * 1000);
         lead = new Leadership(client, mirror, loop, random, Keys.LEADER, settings.host(), holdMs,
                 Leadership.blindMs(settings.workers().cancelS(), settings.workers().leaseS(), holdMs), others, peers,
                 table.endings(), this);
-        GroupWriter writer = new GroupWriter(client, mirror, loop, settings.stateLimits().txnOps(),
-                settings.stateLimits().writeRps() * 0.5, Keys.LEADER, lead::writeGuard,
-                metrics.busy);
+        GroupWriter writer = new GroupWriter(client, mirror, loop, settings.stateLimits(), WRITER_SHARE, Keys.LEADER,
+                lead::writeGuard, metrics.busy);
         cloud = new CloudClient(http, loop, settings.cloud(), settings.cloudLimits().rps());
-        jobs = new JobService(client, mirror, loop, table, history, settings, types, metrics);
-        parts = new Parts(loop, http, random, settings, policy, client, mirror, lead, writer, cloud, table, history, roll,
-                types, metrics, incidents, chronicle);
+        JobLookup lookup = new JobLookup(client, mirror, table, history);
+        jobs = new JobService(client, mirror, loop, table, lookup, settings, types,
+                () -> capabilities.all(Capabilities.Feature.PIPELINES), metrics);
+        parts = new Parts(loop, http, random, settings, policy, client, mirror, lead, writer, cloud, table, history, lookup,
+                capabilities, types, metrics, incidents, chronicle);
     }
 
     /** What tells of this controller's recoveries. */
@@ -143,7 +147,7 @@
         if (mirror.following() || relay.heard() != null || loop.now() >= latest) {
             open.run();
             lead.consider();
-            loop.after(ANNOUNCE_MS, roll::announce);
+            loop.after(ANNOUNCE_MS, capabilities::announce);
         } else {
             loop.after(20, () -> open(open, latest));
         }
@@ -225,8 +229,8 @@
             table.changed(key.substring(Keys.JOBS.length()), value, version);
         } else if (key.startsWith(Place.ROOT)) {
             history.changed(key, value, version);
-        } else if (key.startsWith(Roll.ROOT)) {
-            roll.changed(key, value);
+        } else if (key.startsWith(Capabilities.ROOT)) {
+            capabilities.changed(key, value);
         } else if (key.equals(Keys.LEADER)) {
             String before = lead.leaderHost();
             lead.keyChanged(value, version);
--- a/controller/src/main/java/org/landingridge/controller/cli/RehearseCommand.java
+++ b/controller/src/main/java/org/landingridge/controller/cli/RehearseCommand.java
@@ -29,8 +29,9 @@
 @Command(name = "rehearse", hidden = true)
 public final class RehearseCommand implements Callable<Integer> {
     private static final String JOB = """
-            {"id":"job-000001","lane":"l","crew":"t","shape":"sweep","urgency":"normal","takes":2,"cpus":1.0,
-             "memoryGb":1.0,"reel":"i","sizeGb":0.1,"standby":true,"runtimeS":5.0,"airtimeS":60.0}
+            {"id":"job-000001","lane":"l","crew":"t","shape":"sweep","urgency":"normal","takes":2,"cpus":1.0,"cards":0.0,
+             "memoryGb":1.0,"reel":"i","sizeGb":0.1,"oneZone":false,"scatter":false,"standby":true,"runtimeS":5.0,
+             "savepointS":0.0,"flushS":0.0,"airtimeS":60.0}
             """;
     private static final String TYPES = """
             {"rigs":[{"name":"k","cpus":4,"cards":0,"memoryGb":8,"localGb":9,"fetchGbPerS":1.0,"hourly":1.0,
--- a/controller/src/main/java/org/landingridge/controller/config/Settings.java
+++ b/controller/src/main/java/org/landingridge/controller/config/Settings.java
@@ -33,7 +33,26 @@
 
     public record Workers(double reportS, double leaseS, double cancelS) {}
 
-    public record State(double rps, double writeRps, double valueKb, int txnOps) {}
+    /**
+     * Limits of the state service that this process keeps to.
+     *
+     * @param rps      requests a second
+     * @param writeRps puts and deletes a second
+     * @param valueKb  KiB to a value
+     * @param txnOps   puts and deletes to a transaction
+     */
+    public record State(double rps, double writeRps, double valueKb, int txnOps) {
+        /** The stricter of each: limits that are announced hold from the start, since they come without notice. */
+        State stricter(State next) {
+            return new State(Math.min(rps, next.rps), Math.min(writeRps, next.writeRps), Math.min(valueKb, next.valueKb),
+                    Math.min(txnOps, next.txnOps));
+        }
+
+        /** Bytes to a value. */
+        public int valueBytes() {
+            return (int) (valueKb * 1024);
+        }
+    }
 
     public record Cloud(double rps, double listLagS) {}
 
@@ -96,6 +115,15 @@
             JsonNode s = table(cluster, "cluster.", "state");
             State state = new State(number(s, at, "rps", null), number(s, at, "write_rps", null),
                     number(s, at, "value_kb", null), (int) (double) number(s, at, "txn_ops", null));
+            JsonNode n = s.path("next");
+            if (n.isObject()) {
+                at = "cluster.state.next.";
+                state = state.stricter(new State(number(n, at, "rps", state.rps), number(n, at, "write_rps", state.writeRps),
+                        number(n, at, "value_kb", state.valueKb), (int) (double) number(n, at, "txn_ops", state.txnOps)));
+            }
+            if (!(state.rps > 0 && state.writeRps > 0 && state.valueKb > 0)) {
+                throw wrong(at + "rps, write_rps, value_kb", "numbers above 0");
+            }
             if (state.txnOps < 2) {
                 throw wrong(at + "txn_ops", "at least 2");
             }
--- a/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Fleet.java
@@ -155,7 +155,7 @@
     public int waiting() {
         int sum = 0;
         for (LiveJob j : jobs.values()) {
-            sum += j.count(Task.State.PENDING);
+            sum += j.job().ready() ? j.count(Task.State.PENDING) : 0;
         }
         return sum;
     }
@@ -169,6 +169,9 @@
      * what this reign has seen on a fenced machine and then lost is accounted for, whatever other machines may hold.
      */
     public int placeable(LiveJob job) {
+        if (!job.job().ready()) {
+            return 0;
+        }
         boolean held = census.mayHold(job.spec());
         if (placeable(job, false, held)) {
             return job.count(Task.State.PENDING);
@@ -266,6 +269,10 @@
 
     /** The job's next waiting task that may be placed, or null. */
     public Task nextPlaceable(LiveJob job) {
+        // The one door to every start: whatever asks, nothing of a job begins before all that it needs is stored as done.
+        if (!job.job().ready()) {
+            return null;
+        }
         boolean held = census.mayHold(job.spec());
         boolean clear = placeable(job, false, held);
         for (int tried = 0; tried < job.size(); tried++) {
@@ -586,7 +593,7 @@
     /** True if tasks of earlier leaders' jobs wait. */
     private boolean anyHeld() {
         for (LiveJob job : jobs.values()) {
-            if (!job.own && job.count(Task.State.PENDING) > 0) {
+            if (!job.own && job.job().ready() && job.count(Task.State.PENDING) > 0) {
                 return true;
             }
         }
@@ -597,7 +604,7 @@
     public int held() {
         int sum = 0;
         for (LiveJob job : jobs.values()) {
-            sum += census.left() == 0 ? 0 : job.count(Task.State.PENDING) - placeable(job);
+            sum += census.left() == 0 || !job.job().ready() ? 0 : job.count(Task.State.PENDING) - placeable(job);
         }
         return sum;
     }
--- a/controller/src/main/java/org/landingridge/controller/fleet/Roster.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Roster.java
@@ -4,14 +4,14 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.landingridge.controller.store.Document;
 import org.landingridge.controller.store.GroupWriter;
+import org.landingridge.controller.store.Page;
+import org.landingridge.controller.store.PageTable;
 import org.landingridge.wire.Json;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -41,22 +41,19 @@
     /** Ranks of a page that makes machines usable, and of one that only tells of them. */
     private static final int USABLE = 2;
     private static final int LATER = 6;
-    private final String root;
     private final GroupWriter writer;
     private final Fleet fleet;
-    private final int pageBytes;
     private final int valueBytes;
-    private final List<Page> pages = new ArrayList<>();
-    private final Map<String, Page> pageOf = new HashMap<>();
+    private final PageTable<MachinePage> pages;
     /** Keys of pages that cannot be read; nothing is written there before their machines' leases are over. */
     private final Set<String> quarantined = new LinkedHashSet<>();
 
-    public Roster(String root, GroupWriter writer, Fleet fleet, double valueKb) {
-        this.root = root;
+    /** @param valueBytes what the state service takes for a value */
+    public Roster(String root, GroupWriter writer, Fleet fleet, int valueBytes) {
         this.writer = writer;
         this.fleet = fleet;
-        this.valueBytes = (int) (valueKb * 1024);
-        this.pageBytes = (int) (valueBytes * FILL);
+        this.valueBytes = valueBytes;
+        this.pages = new PageTable<>(root + PREFIX, (int) (valueBytes * FILL), MachinePage::new, writer);
     }
 
     /**
@@ -72,24 +69,31 @@
             // Taken for empty, what its machines hold would be started once more elsewhere.
             LOG.error("{} cannot be read ({}): until a lease is over its machines may hold anything", key, wrong);
             quarantined.add(key);
+            pages.reserve(key);
             fleet.unreadable();
             return;
         }
-        Page page = new Page(key);
-        pages.add(page);
+        MachinePage page = pages.open(key);
         JsonNode images = value.path(IMAGES);
         value.properties().forEach(e -> {
             if (e.getKey().equals(IMAGES)) {
                 return;
             }
             JsonNode row = e.getValue();
-            pageOf.put(e.getKey(), page);
+            MachinePage other = pages.of(e.getKey());
+            if (other != null) {
+                // A leader ended between the two steps of a split. What may hold tasks by either row may hold them.
+                writer.mark(page);
+                if (row.path(0).isNull() || fleet.machine(e.getKey()).addr != null) {
+                    return;
+                }
+            }
             fleet.fromRoster(e.getKey(), row.path(0).isTextual() ? row.path(0).textValue() : null,
                     row.path(1).asText(), row.path(2).asText(), row.path(3).asInt() == 1,
                     row.path(5).isNumber() && row.path(6).asLong() == previous ? at - row.path(5).asLong()
                             : Long.MAX_VALUE);
             Machine m = fleet.machine(e.getKey());
-            page.put(m);
+            pages.put(m.id, size(m), other == null ? page : other);
             for (char digit : row.path(4).asText().toCharArray()) {
                 m.used(Json.text(images, Character.digit(digit, MAX_IMAGES)));
             }
@@ -116,36 +120,23 @@
     /** What the pages that cannot be read told of holds nothing any more: they go. */
     public void dropUnreadable() {
         for (String key : quarantined) {
-            Page empty = new Page(key);
-            pages.add(empty);
-            writer.mark(empty);
+            writer.mark(pages.open(key));
         }
         quarantined.clear();
     }
 
+    /** Pages that were filled up to a larger limit are split. */
+    public void splitOversized() {
+        pages.splitOversized();
+    }
+
     public void add(Machine m) {
-        Page page = pageOf.get(m.id);
-        if (page == null) {
-            int size = size(m);
-            page = pages.stream().filter(p -> p.bytes + size <= pageBytes).findFirst().orElse(null);
-            if (page == null) {
-                int n = 0;
-                while (taken(root + PREFIX + n)) {
-                    n++;
-                }
-                page = new Page(root + PREFIX + n);
-                pages.add(page);
-            }
-            pageOf.put(m.id, page);
-        }
-        page.put(m);
-        writer.mark(page);
+        writer.mark(pages.put(m.id, size(m)));
     }
 
     public void remove(String id) {
-        Page page = pageOf.remove(id);
+        MachinePage page = pages.remove(id);
         if (page != null) {
-            page.bytes -= page.ids.remove(id);
             writer.mark(page);
         }
     }
@@ -155,15 +146,7 @@
         return ROW + m.id.length() + m.type.length() + m.zone.length() + (m.addr == null ? ADDRESS : m.addr.length());
     }
 
-    private boolean taken(String key) {
-        return quarantined.contains(key) || pages.stream().anyMatch(p -> p.key.equals(key));
-    }
-
-    private final class Page implements Document {
-        private final String key;
-        /** Machines with what their rows may take. */
-        private final Map<String, Integer> ids = new LinkedHashMap<>();
-        private int bytes;
+    private final class MachinePage extends Page {
         /** Machines that stand with their address in the form rendered last. */
         private List<String> holding = List.of();
         /** Machines that the form rendered last calls silent no more. */
@@ -171,24 +154,13 @@
         /** Machines of whose silence that form was the first to tell. */
         private List<Machine> telling = List.of();
 
-        Page(String key) {
-            this.key = key;
-        }
-
-        void put(Machine m) {
-            int size = size(m);
-            Integer before = ids.put(m.id, size);
-            bytes += size - (before == null ? 0 : before);
-        }
-
-        @Override
-        public String key() {
-            return key;
+        MachinePage(String key) {
+            super(key);
         }
 
         @Override
         public JsonNode render() {
-            if (ids.isEmpty()) {
+            if (names().isEmpty()) {
                 holding = List.of();
                 speaking = List.of();
                 return null;
@@ -205,7 +177,7 @@
             speaking = new ArrayList<>();
             ObjectNode n = Json.object();
             Map<String, Integer> images = new LinkedHashMap<>();
-            for (String id : ids.keySet()) {
+            for (String id : names()) {
                 Machine m = fleet.machine(id);
                 if (m != null) {
                     ArrayNode row = n.putArray(id);
@@ -248,6 +220,7 @@
 
         @Override
         public void stored(long revision) {
+            super.stored(revision);
             for (String id : holding) {
                 Machine m = fleet.machine(id);
                 if (m != null && !m.written && m.mayHold()) {
@@ -270,7 +243,7 @@
 
         @Override
         public int rank() {
-            for (String id : ids.keySet()) {
+            for (String id : names()) {
                 Machine m = fleet.machine(id);
                 if (m != null && (!m.written && m.mayHold() || m.voice() != Machine.Voice.HEARD)) {
                     return USABLE;
--- a/controller/src/main/java/org/landingridge/controller/history/Compactor.java
+++ b/controller/src/main/java/org/landingridge/controller/history/Compactor.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import org.landingridge.controller.config.Settings;
 import org.landingridge.controller.jobs.Ended;
 import org.landingridge.controller.jobs.Job;
 import org.landingridge.controller.jobs.JobTable;
@@ -19,6 +20,7 @@
 import org.landingridge.controller.store.StateClient.Answer;
 import org.landingridge.controller.store.StateClient.Guard;
 import org.landingridge.controller.store.StateClient.Write;
+import org.landingridge.controller.upgrade.Capabilities;
 import org.landingridge.net.Loop;
 import org.landingridge.wire.Json;
 import org.slf4j.Logger;
@@ -39,8 +41,11 @@
         /** True while the leader has something else to write, or does not know yet what is on its machines. */
         boolean busy();
 
-        /** Jobs of which something is, or may be, on a machine; the caller may change the set. */
-        Set<String> onMachines();
+        /**
+         * Jobs whose ends have to stay where every controller reads them at its start: something of them is, or may be, on a
+         * machine, or a job names them that has not ended. The caller may change the set.
+         */
+        Set<String> needed();
     }
 
     /**
@@ -75,11 +80,11 @@
     private final Loop loop;
     private final JobTable table;
     private final History history;
-    private final Roll roll;
+    private final Capabilities capabilities;
     private final Metrics metrics;
     private final Reign reign;
     private final LongSupplier leaderVersion;
-    private final int maxOps;
+    private final int valueBytes;
     private final double writeRps;
     private final double share;
     /** Ended jobs that the table has no room for, found by a scan of their keys. */
@@ -88,7 +93,10 @@
     private final Set<String> unreadable = new HashSet<>();
     /** Jobs that stand in both places with different ends. */
     private final Set<String> contradicted = new HashSet<>();
+    /** Segments that would grow beyond what the state service takes: their jobs stay under keys of their own. */
+    private final Set<String> full = new HashSet<>();
     private State state = State.IDLE;
+    private int maxOps;
     private String scanFrom;
     private long scanNotBefore;
     private boolean strayInPass;
@@ -97,27 +105,27 @@
     private long pauseMs = FIRST_PAUSE_MS;
     private double load;
     private long loadAt;
-    private boolean waitsForRoll;
+    private boolean waitsForUpgrade;
 
     /**
      * @param leaderVersion version of the leader's key, or 0 while this process may not write
-     * @param maxOps   puts and deletes to a transaction
-     * @param writeRps puts and deletes a second that the state service takes
+     * @param limits   of the state service
      * @param share    of those, what this may use; 0: nothing is moved
      */
-    public Compactor(StateClient client, Mirror mirror, Loop loop, JobTable table, History history, Roll roll,
-            Metrics metrics, Reign reign, LongSupplier leaderVersion, int maxOps, double writeRps, double share) {
+    public Compactor(StateClient client, Mirror mirror, Loop loop, JobTable table, History history,
+            Capabilities capabilities, Metrics metrics, Reign reign, LongSupplier leaderVersion, Settings.State limits, double share) {
         this.client = client;
         this.mirror = mirror;
         this.loop = loop;
         this.table = table;
         this.history = history;
-        this.roll = roll;
+        this.capabilities = capabilities;
         this.metrics = metrics;
         this.reign = reign;
         this.leaderVersion = leaderVersion;
-        this.maxOps = maxOps;
-        this.writeRps = writeRps;
+        this.maxOps = limits.txnOps();
+        this.valueBytes = limits.valueBytes();
+        this.writeRps = limits.writeRps();
         this.share = share;
     }
 
@@ -183,10 +191,10 @@
     }
 
     private boolean allKnow() {
-        List<String> unknowing = roll.unknowing();
-        if (!unknowing.isEmpty() != waitsForRoll) {
-            waitsForRoll = !waitsForRoll;
-            if (waitsForRoll) {
+        List<String> unknowing = capabilities.unaware(Capabilities.Feature.HISTORY);
+        if (!unknowing.isEmpty() != waitsForUpgrade) {
+            waitsForUpgrade = !waitsForUpgrade;
+            if (waitsForUpgrade) {
                 LOG.info("ended jobs stay where they are until these run a version that knows the history: {}",
                         unknowing);
             }
@@ -206,7 +214,7 @@
         if (surplus < maxOps / 2 && strays.isEmpty()) {
             return batch;
         }
-        Set<String> held = reign.onMachines();
+        Set<String> held = reign.needed();
         held.addAll(contradicted);
         int ops = 0;
         for (Candidate c : strays.values()) {
@@ -219,6 +227,10 @@
                 break;
             }
             long version = mirror.version(Keys.JOBS + job.id());
+            // What is not in the mirror yet may name the job: a move is thought out on all that came before its end.
+            if (version > mirror.revision() || table.unstored().contains(job)) {
+                continue;
+            }
             boolean due = surplus-- > 0 || batch.containsKey(Place.of(job.id()).key());
             if (due && version > 0 && !held.contains(job.id()) && !strays.containsKey(job.id())) {
                 ops += add(batch, new Candidate(job.id(), version, new Ended(job.status(), job.tasks())), maxOps - ops);
@@ -231,7 +243,7 @@
     private int add(Map<String, List<Candidate>> batch, Candidate c, int room) {
         String key = Place.of(c.id).key();
         int ops = batch.containsKey(key) ? 1 : 2;
-        if (ops > room || unreadable.contains(key)) {
+        if (ops > room || unreadable.contains(key) || full.contains(key)) {
             return 0;
         }
         batch.computeIfAbsent(key, k -> new ArrayList<>()).add(c);
@@ -292,6 +304,10 @@
                 writes.add(new Write(key, before.with(moving).json(), 0));
             }
         });
+        if (setFullAside(writes)) {
+            idle(0);
+            return;
+        }
         if (leader == 0 || writes.isEmpty()) {
             idle(IDLE_MS);
             return;
@@ -305,6 +321,20 @@
         });
     }
 
+    /** True if a segment would grow too large: it takes no more jobs, and the batch has to be thought out anew without it. */
+    private boolean setFullAside(List<Write> writes) {
+        boolean some = false;
+        for (Write w : writes) {
+            if (w.value() != null && Json.bytes(w.value()).length > valueBytes) {
+                LOG.warn("{} has no room for more jobs within {} bytes: its other jobs keep their own keys", w.key(), valueBytes);
+                full.add(w.key());
+                some = true;
+            }
+        }
+        strays.keySet().removeIf(id -> full.contains(Place.of(id).key()));
+        return some;
+    }
+
     private void committed(List<Candidate> batch, Answer answer) {
         switch (answer.status()) {
             case OK -> {
@@ -315,6 +345,12 @@
             }
             // Refused as a whole, for want of rate or in an outage: whoever else wants to write goes first.
             case REFUSED -> pause();
+            case INVALID -> {
+                // The state service takes less than its announced limits: asked for the same again, it would refuse for ever.
+                LOG.warn("the state service takes no transaction of {} changes", maxOps);
+                maxOps = Math.max(2, maxOps / 2);
+                pause();
+            }
             // Not as we thought, or unknown: the mirror is brought up to the present, and then we look again.
             default -> settle(batch);
         }
@@ -371,7 +407,8 @@
                 if (ended != null && table.get(id) == null) {
                     strayInPass = true;
                     // Those that cannot move would fill the table, and keep all others from moving.
-                    if (!contradicted.contains(id) && !unreadable.contains(Place.of(id).key())) {
+                    if (!contradicted.contains(id) && !unreadable.contains(Place.of(id).key())
+                            && !full.contains(Place.of(id).key())) {
                         strays.put(id, new Candidate(id, Json.integer(e, "stamp", 0), ended));
                     }
                 }
--- a/controller/src/main/java/org/landingridge/controller/jobs/Job.java
+++ b/controller/src/main/java/org/landingridge/controller/jobs/Job.java
@@ -1,6 +1,9 @@
 package org.landingridge.controller.jobs;
 
 import java.util.BitSet;
+import java.util.Collections;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import org.landingridge.wire.JobSpec;
 
 /** What is stored of a job, as this controller knows it. Ended jobs keep no description. */
@@ -19,6 +22,9 @@
     private long endedAt;
     /** For display, from the leader. */
     private int running;
+    /** Jobs that this one needs and that are not known to be done; empty for most. */
+    private Set<String> awaited = Set.of();
+    private long readySince;
 
     Job(String id, int index, long created) {
         this.id = id;
@@ -69,6 +75,37 @@
         return status == Status.ACCEPTED;
     }
 
+    /** True once all jobs that this one needs are stored as done: no task of it may start before. */
+    public boolean ready() {
+        return awaited.isEmpty();
+    }
+
+    /** Ids of the jobs that this one needs and that are not known to be done. */
+    public Set<String> awaited() {
+        return Collections.unmodifiableSet(awaited);
+    }
+
+    /** Loop time at which this controller saw the last awaited job done; 0 for a job that was ready when it became known. */
+    public long readySince() {
+        return readySince;
+    }
+
+    void await(String id) {
+        if (awaited.isEmpty()) {
+            awaited = new LinkedHashSet<>();
+        }
+        awaited.add(id);
+    }
+
+    /** An awaited job is done; true if it was the last. */
+    boolean satisfied(String id, long now) {
+        if (!awaited.remove(id) || !awaited.isEmpty()) {
+            return false;
+        }
+        readySince = now;
+        return true;
+    }
+
     public int running() {
         return running;
     }
@@ -93,6 +130,7 @@
         tasks = count;
         running = 0;
         done = null;
+        awaited = Set.of();
         if (how == Status.DONE) {
             spec = null;
         }
--- a/controller/src/main/java/org/landingridge/controller/ops/Operations.java
+++ b/controller/src/main/java/org/landingridge/controller/ops/Operations.java
@@ -1,6 +1,7 @@
 package org.landingridge.controller.ops;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -41,6 +42,9 @@
     private static final long RETENTION_MS = 30_000;
     /** Names that one call to the cloud may give back. */
     private static final int MOST_RETURNED = 100;
+    /** What the record of an operation takes beside the names of machines, and each of these beside its letters. */
+    private static final int RECORD_BYTES = 300;
+    private static final int NAME_BYTES = 3;
     private final Loop loop;
     private final RandomGenerator random;
     private final CloudClient cloud;
@@ -48,13 +52,14 @@
     private final String root;
     private final long token;
     private final long queryLimitMs;
+    private final int valueBytes;
     private final Events events;
     private final Map<String, Operation> all = new LinkedHashMap<>();
     private int counter;
     private boolean closed;
 
     public Operations(Loop loop, RandomGenerator random, CloudClient cloud, GroupWriter writer, String root,
-            long token, double queryLimitS, Events events) {
+            long token, double queryLimitS, int valueBytes, Events events) {
         this.loop = loop;
         this.random = random;
         this.cloud = cloud;
@@ -62,6 +67,7 @@
         this.root = root;
         this.token = token;
         this.queryLimitMs = Math.round(queryLimitS * 1000);
+        this.valueBytes = valueBytes;
         this.events = events;
     }
 
@@ -117,9 +123,16 @@
 
     /** Gives the machines back, in as many calls as their number needs. */
     public void giveBack(List<String> machines) {
-        for (int i = 0; i < machines.size(); i += MOST_RETURNED) {
+        int next = 0;
+        while (next < machines.size()) {
             ObjectNode request = Json.object();
-            machines.subList(i, Math.min(machines.size(), i + MOST_RETURNED)).forEach(request.putArray("boxes")::add);
+            ArrayNode boxes = request.putArray("boxes");
+            int bytes = RECORD_BYTES;
+            do {
+                bytes += machines.get(next).length() + NAME_BYTES;
+                boxes.add(machines.get(next++));
+            } while (next < machines.size() && boxes.size() < MOST_RETURNED
+                    && bytes + machines.get(next).length() + NAME_BYTES <= valueBytes);
             create(Kind.GIVE_BACK, request);
         }
     }
--- /dev/null
+++ b/controller/src/main/java/org/landingridge/controller/progress/Cancellations.java
@@ -0,0 +1,69 @@
+package org.landingridge.controller.progress;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashSet;
+import java.util.Set;
+import org.landingridge.controller.jobs.Job;
+import org.landingridge.controller.jobs.JobTable;
+import org.landingridge.controller.store.Document;
+import org.landingridge.controller.store.GroupWriter;
+import org.landingridge.controller.store.Keys;
+
+/**
+ * Writes the ends of jobs that are cancelled because a job that they need is. No user's answer waits for that: every
+ * controller derives such an end from the cancelled job's own key. Once it is written that key may leave for the history.
+ */
+public final class Cancellations {
+    private final GroupWriter writer;
+    private final JobTable table;
+    private final Set<Job> marked = new HashSet<>();
+
+    public Cancellations(GroupWriter writer, JobTable table) {
+        this.writer = writer;
+        this.table = table;
+    }
+
+    /** Has every end written that is derived and not stored yet. */
+    public void write() {
+        marked.retainAll(table.unstored());
+        for (Job job : table.unstored()) {
+            if (marked.add(job)) {
+                writer.mark(new Cancellation(job));
+            }
+        }
+    }
+
+    private final class Cancellation implements Document {
+        private final Job job;
+
+        Cancellation(Job job) {
+            this.job = job;
+        }
+
+        @Override
+        public String key() {
+            return Keys.JOBS + job.id();
+        }
+
+        @Override
+        public JsonNode render() {
+            return JobTable.ended(job, Job.Status.CANCELLED);
+        }
+
+        @Override
+        public void stored(long revision) {
+            table.stored(job);
+        }
+
+        /** After everything that somebody waits for. */
+        @Override
+        public int rank() {
+            return 7;
+        }
+
+        @Override
+        public boolean wanted() {
+            return table.unstored().contains(job);
+        }
+    }
+}
--- a/controller/src/main/java/org/landingridge/controller/progress/Progress.java
+++ b/controller/src/main/java/org/landingridge/controller/progress/Progress.java
@@ -6,7 +6,6 @@
 import java.util.Base64;
 import java.util.BitSet;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.landingridge.controller.fleet.LiveJob;
@@ -15,6 +14,8 @@
 import org.landingridge.controller.jobs.JobTable;
 import org.landingridge.controller.store.Document;
 import org.landingridge.controller.store.GroupWriter;
+import org.landingridge.controller.store.Page;
+import org.landingridge.controller.store.PageTable;
 import org.landingridge.wire.Json;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -35,20 +36,21 @@
     private static final Logger LOG = LoggerFactory.getLogger(Progress.class);
     /** Tasks to one chunk, so that the largest job's bits fit values of the smallest size. */
     private static final int CHUNK = 4096;
-    private final String root;
+    /** Of a value so much is filled with what the chunks may come to take. */
+    private static final double FILL = 0.85;
     private final String jobRoot;
     private final GroupWriter writer;
     private final Events events;
-    private final int pageBytes;
-    private final List<Page> pages = new ArrayList<>();
-    private final Map<String, Page> pageOf = new HashMap<>();
+    private final PageTable<ChunkPage> pages;
+    /** Finished tasks by chunk, the first of which has the offset 0. */
+    private final Map<String, BitSet> chunks = new HashMap<>();
 
-    public Progress(String root, String jobRoot, GroupWriter writer, double valueKb, Events events) {
-        this.root = root;
+    /** @param valueBytes what the state service takes for a value */
+    public Progress(String root, String jobRoot, GroupWriter writer, int valueBytes, Events events) {
         this.jobRoot = jobRoot;
         this.writer = writer;
         this.events = events;
-        this.pageBytes = (int) (valueKb * 1024 * 0.85);
+        this.pages = new PageTable<>(root + PREFIX, (int) (valueBytes * FILL), ChunkPage::new, writer);
     }
 
     /** A page as the mirror sees it: tells the table which tasks are done. */
@@ -74,19 +76,23 @@
     }
 
     public void takeOver(String key, JsonNode value, JobTable table) {
-        Page page = new Page(key);
-        pages.add(page);
+        ChunkPage page = pages.open(key);
         value.fields().forEachRemaining(e -> {
             int hash = e.getKey().lastIndexOf('#');
             Job job = hash > 0 ? table.get(e.getKey().substring(0, hash)) : null;
             if (job != null && job.active()) {
+                if (pages.of(e.getKey()) == null) {
+                    pages.put(e.getKey(), size(job.id(), job.tasks()), page);
+                } else {
+                    // A leader ended between the two steps of a split: the chunk stays where it was found first.
+                    writer.mark(pages.of(e.getKey()));
+                    writer.mark(page);
+                }
                 try {
-                    page.chunks.put(e.getKey(), bits(e));
+                    chunks.computeIfAbsent(e.getKey(), c -> new BitSet()).or(bits(e));
                 } catch (IllegalArgumentException x) {
-                    page.chunks.put(e.getKey(), new BitSet());
+                    LOG.error("{} cannot be read in {}", e.getKey(), key);
                 }
-                page.bytes += size(job.id(), job.tasks());
-                pageOf.put(e.getKey(), page);
             }
         });
     }
@@ -110,23 +116,8 @@
             return;
         }
         String chunk = job.id() + '#' + task.index() / CHUNK;
-        Page page = pageOf.get(chunk);
-        if (page == null) {
-            int size = size(job.id(), job.size());
-            page = pages.stream().filter(p -> p.bytes + size < pageBytes).findFirst().orElse(null);
-            if (page == null) {
-                int n = 0;
-                while (taken(root + PREFIX + n)) {
-                    n++;
-                }
-                page = new Page(root + PREFIX + n);
-                pages.add(page);
-            }
-            page.chunks.put(chunk, new BitSet());
-            page.bytes += size;
-            pageOf.put(chunk, page);
-        }
-        page.chunks.get(chunk).set(task.index() % CHUNK);
+        ChunkPage page = pages.put(chunk, size(job.id(), job.size()));
+        chunks.computeIfAbsent(chunk, c -> new BitSet()).set(task.index() % CHUNK);
         page.fresh.add(task);
         writer.mark(page);
     }
@@ -134,11 +125,8 @@
     /** The job is over: its bits are of no use any more, and go with the page's next write. */
     public void ended(LiveJob job) {
         for (int c = 0; c <= job.size() / CHUNK; c++) {
-            Page page = pageOf.remove(job.id() + '#' + c);
-            if (page != null) {
-                page.chunks.remove(job.id() + '#' + c);
-                page.bytes -= size(job.id(), job.size());
-            }
+            pages.remove(job.id() + '#' + c);
+            chunks.remove(job.id() + '#' + c);
         }
     }
 
@@ -147,42 +135,35 @@
         return 24 + job.length() + Math.min(CHUNK, tasks) / 6;
     }
 
-    private boolean taken(String key) {
-        return pages.stream().anyMatch(p -> p.key.equals(key));
+    /** Pages that were filled up to a larger limit are split. */
+    public void splitOversized() {
+        pages.splitOversized();
     }
 
-    private final class Page implements Document {
-        private final String key;
-        private final Map<String, BitSet> chunks = new LinkedHashMap<>();
-        /** What the chunks may take once all their bits are set. */
-        private int bytes;
+    private final class ChunkPage extends Page {
         private List<Task> fresh = new ArrayList<>();
         private List<Task> rendered = new ArrayList<>();
 
-        Page(String key) {
-            this.key = key;
-        }
-
-        @Override
-        public String key() {
-            return key;
+        ChunkPage(String key) {
+            super(key);
         }
 
         @Override
         public JsonNode render() {
             rendered.addAll(fresh);
             fresh = new ArrayList<>();
-            if (chunks.isEmpty()) {
+            if (names().isEmpty()) {
                 // No page outlives the load that it was made for.
                 return null;
             }
             ObjectNode n = Json.object();
-            chunks.forEach((name, bits) -> n.put(name, Base64.getEncoder().encodeToString(bits.toByteArray())));
+            names().forEach(name -> n.put(name, Base64.getEncoder().encodeToString(chunks.get(name).toByteArray())));
             return n;
         }
 
         @Override
         public void stored(long revision) {
+            super.stored(revision);
             List<Task> done = rendered;
             rendered = new ArrayList<>();
             for (Task t : done) {
--- a/controller/src/main/java/org/landingridge/controller/reign/Expectations.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Expectations.java
@@ -122,6 +122,10 @@
         group.runS = runS(spec);
         Double within = spec.deadlineS() != null ? spec.deadlineS() : finishWithin.get(spec.jobClass());
         long submitted = now + job.submittedAt() - timeOfDay;
+        if (job.readySince() > 0 && spec.deadlineS() == null) {
+            // Only the deadline counts from the submission: all else from when the job could start.
+            submitted = job.readySince();
+        }
         group.startBy = submitted;
         if (within == null) {
             // Nobody has said by when: dear machines are not for it, unless the cheap ones do not come for long.
--- a/controller/src/main/java/org/landingridge/controller/reign/Parts.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Parts.java
@@ -5,7 +5,6 @@
 import org.landingridge.controller.config.Policy;
 import org.landingridge.controller.config.Settings;
 import org.landingridge.controller.history.History;
-import org.landingridge.controller.history.Roll;
 import org.landingridge.controller.jobs.JobTable;
 import org.landingridge.controller.lead.Leadership;
 import org.landingridge.controller.obs.Chronicle;
@@ -15,11 +14,14 @@
 import org.landingridge.controller.store.GroupWriter;
 import org.landingridge.controller.store.Mirror;
 import org.landingridge.controller.store.StateClient;
+import org.landingridge.controller.upgrade.Capabilities;
+import org.landingridge.controller.users.JobLookup;
 import org.landingridge.net.Http;
 import org.landingridge.net.Loop;
 import org.landingridge.wire.MachineType;
 
 /** What a reign works with: the parts that every controller runs. */
 public record Parts(Loop loop, Http http, RandomGenerator random, Settings settings, Policy policy, StateClient client,
-        Mirror mirror, Leadership lead, GroupWriter writer, CloudClient cloud, JobTable table, History history, Roll roll,
+        Mirror mirror, Leadership lead, GroupWriter writer, CloudClient cloud, JobTable table, History history,
+        JobLookup lookup, Capabilities capabilities,
         Map<String, MachineType> types, Metrics metrics, IncidentReport incidents, Chronicle chronicle) {}
--- a/controller/src/main/java/org/landingridge/controller/reign/Pass.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Pass.java
@@ -74,7 +74,8 @@
         Map<String, Group> groups = new LinkedHashMap<>();
         for (LiveJob job : fleet.jobs()) {
             int team = teamIndex.getOrDefault(job.spec().team(), -1);
-            if (team < 0) {
+            if (team < 0 || !job.job().ready()) {
+                // A job that waits for others takes no part in limits, guarantees, turns and forecasts.
                 continue;
             }
             int placeable = fleet.placeable(job);
--- a/controller/src/main/java/org/landingridge/controller/reign/Reign.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Reign.java
@@ -16,13 +16,13 @@
 import org.landingridge.controller.fleet.Roster;
 import org.landingridge.controller.fleet.Task;
 import org.landingridge.controller.history.Compactor;
-import org.landingridge.controller.history.Segment;
 import org.landingridge.controller.jobs.Job;
 import org.landingridge.controller.jobs.JobTable;
 import org.landingridge.controller.lead.Leadership;
 import org.landingridge.controller.obs.Busy.Part;
 import org.landingridge.controller.ops.Operation;
 import org.landingridge.controller.ops.Operations;
+import org.landingridge.controller.progress.Cancellations;
 import org.landingridge.controller.progress.Progress;
 import org.landingridge.controller.recovery.Picture;
 import org.landingridge.controller.sched.Scheduler;
@@ -56,6 +56,7 @@
     private final Fleet fleet;
     private final Roster roster;
     private final Progress progress;
+    private final Cancellations cancellations;
     private final Operations operations;
     private final Compactor compactor;
     private final Expectations expectations;
@@ -88,10 +89,11 @@
                 parts.chronicle(), this);
         parts.metrics().takeovers.increment();
         parts.incidents().say("this controller took the lead under token " + lead.token());
-        roster = new Roster(root, writer, fleet, settings.stateLimits().valueKb());
-        progress = new Progress(root, Keys.JOBS, writer, settings.stateLimits().valueKb(), this);
+        roster = new Roster(root, writer, fleet, settings.stateLimits().valueBytes());
+        progress = new Progress(root, Keys.JOBS, writer, settings.stateLimits().valueBytes(), this);
+        cancellations = new Cancellations(writer, table);
         operations = new Operations(loop, parts.random(), parts.cloud(), writer, root, lead.token(), policy.queryLimitS(),
-                this);
+                settings.stateLimits().valueBytes(), this);
         // A fresh process has read the finished tasks before it read their jobs, for such is the order of the keys: unless
         // they are looked at once more, it starts all of a job's tasks again.
         stored.forEach((key, value) -> {
@@ -123,9 +125,10 @@
             }
         });
         fleet.jobs().forEach(progress::takeOver);
-        compactor = new Compactor(parts.client(), parts.mirror(), loop, table, parts.history(), parts.roll(),
-                parts.metrics(), this, lead::writeGuard, settings.stateLimits().txnOps(),
-                settings.stateLimits().writeRps(), historyShare());
+        roster.splitOversized();
+        progress.splitOversized();
+        compactor = new Compactor(parts.client(), parts.mirror(), loop, table, parts.history(),
+                parts.capabilities(), parts.metrics(), this, lead::writeGuard, settings.stateLimits(), policy.historyShare());
         picture = new Picture(loop.now(), Math.round(settings.workers().reportS() * 1250) + GATHER_MS);
         recovery = new Recovery(fleet, picture, parts.chronicle(), loop.now());
         pass = new Pass(parts, fleet, operations, expectations, picture);
@@ -139,16 +142,6 @@
         tick();
     }
 
-    /** Nothing is moved where a segment might not fit the state service's values. */
-    private double historyShare() {
-        if (settings.stateLimits().valueKb() * 1024 < Segment.MOST_BYTES) {
-            LOG.warn("ended jobs are not moved: the state service's values are smaller than {} bytes",
-                    Segment.MOST_BYTES);
-            return 0;
-        }
-        return policy.historyShare();
-    }
-
     public void close() {
         closed = true;
         compactor.close();
@@ -187,6 +180,12 @@
             progress.ended(live);
         }
         fleet.jobEnded(job);
+        cancellations.write();
+    }
+
+    @Override
+    public void jobReady(Job job) {
+        changed();
     }
 
     @Override
@@ -299,8 +298,11 @@
     }
 
     @Override
-    public Set<String> onMachines() {
-        return fleet.jobsOnMachines();
+    public Set<String> needed() {
+        Set<String> ids = fleet.jobsOnMachines();
+        table.active().forEach(job -> ids.addAll(job.spec().awaits()));
+        table.unstored().forEach(job -> ids.addAll(job.spec().awaits()));
+        return ids;
     }
 
     // ---- time ----
@@ -312,6 +314,8 @@
         if (lead.mayAct()) {
             inventory.giveBack(loop.now());
             inventory.list();
+            parts.lookup().resolveAll();
+            cancellations.write();
             changed();
         }
         loop.after(500, this::tick);
--- a/controller/src/main/java/org/landingridge/controller/store/Document.java
+++ b/controller/src/main/java/org/landingridge/controller/store/Document.java
@@ -20,6 +20,14 @@
         return 5;
     }
 
+    /**
+     * False while the document has to wait for another, as one whose rows move to a new document, which has to be stored first:
+     * a reader in between finds them in both, never in neither.
+     */
+    default boolean ready() {
+        return true;
+    }
+
     /** False once the document need not be written any more, for instance since a user was quicker. */
     default boolean wanted() {
         return true;
--- a/controller/src/main/java/org/landingridge/controller/store/GroupWriter.java
+++ b/controller/src/main/java/org/landingridge/controller/store/GroupWriter.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import org.landingridge.controller.config.Settings;
 import org.landingridge.controller.obs.Busy;
 import org.landingridge.controller.store.StateClient.Guard;
 import org.landingridge.controller.store.StateClient.Write;
@@ -25,31 +26,39 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(GroupWriter.class);
     private static final long STARVED_MS = 3_000;
+    private static final long REFUSED_PAUSE_MS = 250;
+    /** A transaction takes 64 KiB, keys and conditions included. */
+    private static final int MOST_BYTES = 60_000;
+    /** What a write takes beside its value. */
+    private static final int OVERHEAD_BYTES = 100;
     private final StateClient client;
     private final Mirror mirror;
     private final Loop loop;
-    private final int maxOps;
+    private final int valueBytes;
     private final double msPerWrite;
     private final String leaderKey;
     private final LongSupplier leaderVersion;
     private final Busy busy;
     private final Set<Document> dirty = new LinkedHashSet<>();
     private State state = State.IDLE;
+    private int maxOps;
     private long nextAllowed;
     private long epoch;
     private long refusedAt = Long.MIN_VALUE / 2;
 
     /**
-     * @param writesPerS    puts and deletes a second that the leader may use
+     * @param limits        of the state service
+     * @param share         of the puts and deletes a second, what the leader may use
      * @param leaderVersion version of the leader's key, or 0 while this process may not write
      */
-    public GroupWriter(StateClient client, Mirror mirror, Loop loop, int maxOps, double writesPerS, String leaderKey,
+    public GroupWriter(StateClient client, Mirror mirror, Loop loop, Settings.State limits, double share, String leaderKey,
             LongSupplier leaderVersion, Busy busy) {
         this.client = client;
         this.mirror = mirror;
         this.loop = loop;
-        this.maxOps = maxOps;
-        this.msPerWrite = 1000.0 / writesPerS;
+        this.maxOps = limits.txnOps();
+        this.valueBytes = limits.valueBytes();
+        this.msPerWrite = 1000.0 / (limits.writeRps() * share);
         this.leaderKey = leaderKey;
         this.leaderVersion = leaderVersion;
         this.busy = busy;
@@ -94,7 +103,8 @@
             to(State.IDLE);
             return;
         }
-        List<Document> group = dirty.stream().sorted(Comparator.comparingInt(Document::rank)).limit(maxOps).toList();
+        List<Document> group = dirty.stream().filter(Document::ready).sorted(Comparator.comparingInt(Document::rank)).limit(maxOps)
+                .toList();
         List<Guard> guards = new ArrayList<>();
         List<Write> writes = new ArrayList<>();
         guards.add(new Guard(leaderKey, leader));
@@ -102,10 +112,18 @@
         List<Document> taken = new ArrayList<>();
         for (Document d : group) {
             JsonNode value = d.render();
-            int size = value == null ? 50 : Json.bytes(value).length + 100;
-            if (bytes + size > 60_000) {
+            int length = value == null ? 0 : Json.bytes(value).length;
+            int size = length + OVERHEAD_BYTES;
+            if (bytes + size > MOST_BYTES) {
                 break;
             }
+            if (length > valueBytes) {
+                // It would be refused, and all that goes with it, again and again.
+                LOG.error("{} takes {} bytes of {}: it cannot be stored", d.key(), length, valueBytes);
+                dirty.remove(d);
+                d.refused();
+                continue;
+            }
             bytes += size;
             long version = mirror.version(d.key());
             dirty.remove(d);
@@ -118,7 +136,7 @@
             taken.add(d);
         }
         if (writes.isEmpty()) {
-            again(0);
+            again(group.isEmpty() ? REFUSED_PAUSE_MS : 0);
             return;
         }
         to(State.WRITING);
@@ -146,8 +164,9 @@
                     refusedAt = loop.now();
                     taken.forEach(Document::refused);
                     dirty.addAll(taken);
-                    again(250);
+                    again(REFUSED_PAUSE_MS);
                 }
+                case INVALID -> invalid(taken);
                 default -> {
                     // Unknown, or another version than ours: what holds now is read before anything is said again.
                     LOG.info("a group of {} writes ended {}: reading again", writes.size(), answer.status());
@@ -159,6 +178,22 @@
         });
     }
 
+    /**
+     * The state service takes less than its announced limits. A smaller group may pass; a single document that does not is
+     * left as it is until it changes, since asked for the same again the service would refuse for ever.
+     */
+    private void invalid(List<Document> group) {
+        group.forEach(Document::refused);
+        if (group.size() > 1) {
+            maxOps = group.size() / 2;
+            LOG.warn("a group of {} writes is invalid: {} at most from now on", group.size(), maxOps);
+            dirty.addAll(group);
+        } else {
+            LOG.error("{} cannot be stored: the state service calls it invalid", group.get(0).key());
+        }
+        again(REFUSED_PAUSE_MS);
+    }
+
     private void reread(long began) {
         mirror.barrier(() -> {
             if (began == epoch) {
--- a/controller/src/main/java/org/landingridge/controller/store/StateClient.java
+++ b/controller/src/main/java/org/landingridge/controller/store/StateClient.java
@@ -10,7 +10,8 @@
 
 /** Calls to the state service. Every outcome is one of the named ones; UNKNOWN may still be carried out. */
 public final class StateClient {
-    public enum Status { OK, CONFLICT, NOT_FOUND, NO_LEASE, TOO_OLD, REFUSED, UNKNOWN }
+    /** INVALID: the request is not one that the service takes, as where a value or a transaction is larger than its limits. */
+    public enum Status { OK, CONFLICT, NOT_FOUND, NO_LEASE, INVALID, TOO_OLD, REFUSED, UNKNOWN }
 
     /**
      * An answer; {@code body} is null unless the service sent one.
@@ -103,6 +104,10 @@
                 reply -> done.accept(read(reply)));
     }
 
+    private static boolean noLease(JsonNode body) {
+        return body != null && "no such lease".equals(Json.text(body, "error"));
+    }
+
     private static Answer read(Http.Reply reply) {
         if (reply.outcome() != Http.Outcome.ANSWERED) {
             return new Answer(reply.outcome() == Http.Outcome.NOT_SENT ? Status.REFUSED : Status.UNKNOWN, null);
@@ -113,7 +118,7 @@
             case 409 -> new Answer(Status.CONFLICT, body);
             case 404 -> new Answer(Status.NOT_FOUND, body);
             case 410 -> new Answer(Status.TOO_OLD, body);
-            case 400 -> new Answer(Status.NO_LEASE, body);
+            case 400 -> new Answer(noLease(body) ? Status.NO_LEASE : Status.INVALID, body);
             case 429 -> new Answer(Status.REFUSED, body, true);
             case 503 -> new Answer(Status.REFUSED, body);
             default -> new Answer(Status.UNKNOWN, body);
--- a/controller/src/main/java/org/landingridge/controller/users/JobService.java
+++ b/controller/src/main/java/org/landingridge/controller/users/JobService.java
@@ -2,11 +2,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.landingridge.controller.config.Settings;
-import org.landingridge.controller.history.History;
 import org.landingridge.controller.history.Place;
 import org.landingridge.controller.jobs.Ended;
 import org.landingridge.controller.jobs.Job;
@@ -41,20 +42,23 @@
     private final JobTable table;
     private final Settings settings;
     private final Map<String, MachineType> types;
-    private final History history;
+    private final JobLookup lookup;
+    private final BooleanSupplier pipelines;
     private final Metrics metrics;
     private final Admission admission;
     private final Turns turns;
 
-    public JobService(StateClient client, Mirror mirror, Loop loop, JobTable table, History history, Settings settings,
-            Map<String, MachineType> types, Metrics metrics) {
+    /** @param pipelines whether every controller runs a version that heeds what a job awaits */
+    public JobService(StateClient client, Mirror mirror, Loop loop, JobTable table, JobLookup lookup, Settings settings,
+            Map<String, MachineType> types, BooleanSupplier pipelines, Metrics metrics) {
         this.client = client;
         this.mirror = mirror;
         this.loop = loop;
         this.table = table;
         this.settings = settings;
         this.types = types;
-        this.history = history;
+        this.lookup = lookup;
+        this.pipelines = pipelines;
         this.metrics = metrics;
         this.turns = new Turns(loop::now);
         this.admission = new Admission(loop::now, settings.stateLimits().writeRps(), SHARE, settings.peers().size() + 1);
@@ -83,7 +87,7 @@
         JobSpec wanted = spec;
         String wrong = malformed;
         if (table.get(id) != null) {
-            find(id, exchange, new Told(exchange, id, () -> judge(exchange, id, wanted, wrong)));
+            lookup.find(id, new Told(exchange, id, () -> judge(exchange, id, wanted, wrong)));
         } else {
             judge(exchange, id, wanted, wrong);
         }
@@ -95,11 +99,91 @@
             // The job may be known to others already: then it gets 200, whatever else.
             int status = malformed != null ? 400 : 422;
             String why = malformed != null ? malformed : impossible;
-            find(id, exchange, new Told(exchange, id, () -> error(exchange, status, why)));
+            lookup.find(id, new Told(exchange, id, () -> error(exchange, status, why)));
         } else if (types.isEmpty()) {
             busy(exchange, "the machine types are not known yet");
+        } else if (spec.awaits().isEmpty()) {
+            accept(exchange, spec, JobTable.accepted(spec, loop.timeOfDay()), 0);
+        } else if (!pipelines.getAsBoolean()) {
+            // A leader of an earlier version would start its tasks at once.
+            busy(exchange, "not every controller knows yet that jobs can await others");
         } else {
-            accept(exchange, spec, 0);
+            new AwaitedCheck(exchange, spec).start();
+        }
+    }
+
+    /**
+     * Looks up the jobs that a submission names. Those that are done already need not be awaited, and the history may forget
+     * them for it; if one is cancelled the job is accepted as cancelled.
+     */
+    private final class AwaitedCheck {
+        private final Exchange exchange;
+        private final JobSpec spec;
+        private final Set<String> unfinished = new LinkedHashSet<>();
+        private int left;
+        private boolean cancelled;
+        private String absent;
+        private String service;
+        private String unavailable;
+
+        AwaitedCheck(Exchange exchange, JobSpec spec) {
+            this.exchange = exchange;
+            this.spec = spec;
+            this.left = spec.awaits().size();
+        }
+
+        void start() {
+            for (String id : spec.awaits()) {
+                lookup.find(id, new JobLookup.Finding() {
+                    @Override
+                    public void live(Job job) {
+                        service = job.spec().service() ? id : service;
+                        unfinished.add(id);
+                        checked();
+                    }
+
+                    @Override
+                    public void over(Ended ended) {
+                        cancelled |= ended.how() == Job.Status.CANCELLED;
+                        checked();
+                    }
+
+                    @Override
+                    public void absent() {
+                        absent = id;
+                        checked();
+                    }
+
+                    @Override
+                    public void unavailable(String why) {
+                        unavailable = why;
+                        checked();
+                    }
+                });
+            }
+        }
+
+        private void checked() {
+            if (--left > 0) {
+                return;
+            }
+            if (absent != null) {
+                refused("field awaits: there is no job " + absent);
+            } else if (service != null) {
+                refused("field awaits: " + service + " is a service, which is never done");
+            } else if (unavailable != null) {
+                busy(exchange, unavailable);
+            } else if (cancelled) {
+                accept(exchange, spec, JobTable.cancelled(spec), 0);
+            } else {
+                JobSpec waiting = spec.awaiting(unfinished);
+                accept(exchange, waiting, JobTable.accepted(waiting, loop.timeOfDay()), 0);
+            }
+        }
+
+        /** A job that is known already gets 200, whatever its repeated submission names. */
+        private void refused(String why) {
+            lookup.find(spec.id(), new Told(exchange, spec.id(), () -> error(exchange, 422, why)));
         }
     }
 
@@ -117,6 +201,9 @@
                 || team.gpusMax() > 0 && spec.gpus() * together > team.gpusMax() + 1e-6) {
             return "the job needs more than the limit of team " + spec.team();
         }
+        if (Json.bytes(JobTable.accepted(spec, loop.timeOfDay())).length > settings.stateLimits().valueBytes()) {
+            return "its description takes more than the " + settings.stateLimits().valueBytes() + " bytes that can be stored";
+        }
         return null;
     }
 
@@ -125,7 +212,7 @@
      * the job's key does not exist would take a late retry of a job that has ended, and left that key, for a new job, and
      * run it again.
      */
-    private void accept(Exchange exchange, JobSpec spec, int tries) {
+    private void accept(Exchange exchange, JobSpec spec, ObjectNode record, int tries) {
         if (tries >= TRIES) {
             busy(exchange, "the history of this range of jobs changes too often");
             return;
@@ -141,29 +228,30 @@
                 return;
             }
         }
-        past(spec.id(), exchange, new Told(exchange, spec.id(), null)::over,
-                found -> put(exchange, spec, found.version(), tries, false));
+        Told told = new Told(exchange, spec.id(), () -> { });
+        lookup.past(spec.id(), told, found -> told.over(found.ended()),
+                found -> put(exchange, spec, record, found.version(), tries, false));
     }
 
-    private void put(Exchange exchange, JobSpec spec, long segmentVersion, int tries, boolean again) {
+    private void put(Exchange exchange, JobSpec spec, ObjectNode record, long segmentVersion, int tries, boolean again) {
         String key = Keys.JOBS + spec.id();
         String segment = Place.of(spec.id()).key();
-        ObjectNode value = JobTable.accepted(spec, loop.timeOfDay());
         client.commit(List.of(new Guard(key, 0), new Guard(segment, segmentVersion)),
-                List.of(new Write(key, value, 0)), answer -> {
+                List.of(new Write(key, record, 0)), answer -> {
             switch (answer.status()) {
                 case OK -> {
                     if (answer.revision() > mirror.revision()) {
                         mirror.committed(key, answer.revision());
-                        table.changed(spec.id(), value, answer.revision());
+                        table.changed(spec.id(), record, answer.revision());
                     }
-                    exchange.answer(201, describe(spec.id(), "queued", 0, 0));
+                    boolean cancelled = JobTable.ended(record) != null;
+                    exchange.answer(201, describe(spec.id(), cancelled ? "cancelled" : "queued", 0, 0));
                 }
-                case CONFLICT -> conflict(exchange, spec, tries);
+                case CONFLICT -> conflict(exchange, spec, record, tries);
                 case UNKNOWN -> {
                     // The same conditional put once more: it settles whether the first was carried out.
                     if (!again) {
-                        put(exchange, spec, segmentVersion, tries, true);
+                        put(exchange, spec, record, segmentVersion, tries, true);
                     } else {
                         busy(exchange, "the state service does not answer");
                     }
@@ -179,12 +267,12 @@
     }
 
     /** The job is there already, or other jobs of its range have moved into the history meanwhile: then once more. */
-    private void conflict(Exchange exchange, JobSpec spec, int tries) {
-        find(spec.id(), exchange, new Told(exchange, spec.id(), () -> accept(exchange, spec, tries + 1)));
+    private void conflict(Exchange exchange, JobSpec spec, ObjectNode record, int tries) {
+        lookup.find(spec.id(), new Told(exchange, spec.id(), () -> accept(exchange, spec, record, tries + 1)));
     }
 
     public void poll(Exchange exchange, String id) {
-        find(id, exchange, new Told(exchange, id, () -> error(exchange, 404, "no such job")));
+        lookup.find(id, new Told(exchange, id, () -> error(exchange, 404, "no such job")));
     }
 
     public void cancel(Exchange exchange, String id) {
@@ -192,7 +280,7 @@
     }
 
     private void cancel(Exchange exchange, String id, int tries) {
-        find(id, exchange, new Finding() {
+        lookup.find(id, new JobLookup.Finding() {
             @Override
             public void live(Job job) {
                 if (tries >= TRIES) {
@@ -211,6 +299,11 @@
             public void absent() {
                 error(exchange, 404, "no such job");
             }
+
+            @Override
+            public void unavailable(String why) {
+                busy(exchange, why);
+            }
         });
     }
 
@@ -231,24 +324,25 @@
         });
     }
 
-    // ---- where a job may be ----
-
-    /** What follows from where a job was found; exactly one of the three is called. */
-    private interface Finding {
-        void live(Job job);
-
-        void over(Ended ended);
-
-        /** There is no such job as of the call. */
-        void absent();
-    }
-
     /** Tells the user the job's state wherever it is. */
-    private record Told(Exchange exchange, String id, Runnable otherwise) implements Finding {
+    private final class Told implements JobLookup.Finding {
+        private final Exchange exchange;
+        private final String id;
+        private final Runnable absent;
+
+        Told(Exchange exchange, String id, Runnable absent) {
+            this.exchange = exchange;
+            this.id = id;
+            this.absent = absent;
+        }
 
         @Override
         public void live(Job job) {
-            exchange.answer(200, describe(id, job.running() > 0 ? "running" : "queued", job.doneCount(), job.running()));
+            ObjectNode n = state(id, job.running() > 0 ? "running" : "queued", job.doneCount(), job.running());
+            if (!job.ready()) {
+                job.awaited().forEach(n.putArray("awaits")::add);
+            }
+            exchange.answer(200, Json.bytes(n));
         }
 
         @Override
@@ -258,78 +352,25 @@
 
         @Override
         public void absent() {
-            otherwise.run();
-        }
-    }
-
-    /** Finds the job: an end that is known here is final, everything else is asked for past a barrier. */
-    private void find(String id, Exchange exchange, Finding finding) {
-        Job job = table.get(id);
-        Ended past = job == null ? history.known(id) : job.active() ? null : new Ended(job.status(), job.tasks());
-        if (past != null) {
-            finding.over(past);
-            return;
+            absent.run();
         }
-        barrier(exchange, () -> here(id, exchange, finding, () -> {
-            if (!table.partial()) {
-                finding.absent();
-                return;
-            }
-            // An ended job may have a key of its own that is not kept here. If it is gone from there it may have moved
-            // since the history was looked at, so that is looked at again, past another barrier.
-            client.get(Keys.JOBS + id, answer -> {
-                Ended ended = answer.ok() ? JobTable.ended(answer.body().path("data")) : null;
-                if (ended != null) {
-                    finding.over(ended);
-                } else if (answer.status() == Status.NOT_FOUND) {
-                    barrier(exchange, () -> here(id, exchange, finding, finding::absent));
-                } else {
-                    busy(exchange, "the state service does not answer");
-                }
-            });
-        }));
-    }
 
-    private void here(String id, Exchange exchange, Finding finding, Runnable absent) {
-        Job job = table.get(id);
-        if (job != null && job.active()) {
-            finding.live(job);
-        } else if (job != null) {
-            finding.over(new Ended(job.status(), job.tasks()));
-        } else if (table.unreadable(id)) {
-            busy(exchange, "what is stored of the job cannot be read");
-        } else {
-            past(id, exchange, finding::over, found -> absent.run());
+        @Override
+        public void unavailable(String why) {
+            busy(exchange, why);
         }
     }
 
-    /** Looks the job up in the history; {@code absent} runs where it is not there. */
-    private void past(String id, Exchange exchange, Consumer<Ended> over, Consumer<History.Found> absent) {
-        history.find(id, found -> {
-            switch (found.outcome()) {
-                case UNAVAILABLE -> busy(exchange, "the state service does not answer");
-                case UNREADABLE -> busy(exchange, "the history of this range of jobs cannot be read");
-                case READ -> {
-                    if (found.ended() != null) {
-                        over.accept(found.ended());
-                    } else {
-                        absent.accept(found);
-                    }
-                }
-            }
-        });
-    }
-
-    private void barrier(Exchange exchange, Runnable passed) {
-        mirror.barrier(passed, () -> busy(exchange, "the state service does not answer"));
-    }
-
     private static String name(Job.Status how) {
         return how == Job.Status.DONE ? "done" : "cancelled";
     }
 
     private static byte[] describe(String id, String status, int done, int running) {
-        return Json.bytes(Json.object().put("id", id).put("status", status).put("done", done).put("running", running));
+        return Json.bytes(state(id, status, done, running));
+    }
+
+    private static ObjectNode state(String id, String status, int done, int running) {
+        return Json.object().put("id", id).put("status", status).put("done", done).put("running", running);
     }
 
     /** Refused for now, at once, with the time to come back. */
--- a/emulator/src/main/java/org/landingridge/emulator/Rules.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Rules.java
@@ -1,9 +1,12 @@
 package org.landingridge.emulator;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -22,6 +25,7 @@
     /** When a user was first told that the job is done or cancelled. */
     private final Map<String, Long> overAt = new HashMap<>();
     public final Map<String, Long> cancelledAt = new HashMap<>();
+    private final Map<String, Long> acceptedAt = new HashMap<>();
     public final Set<String> cancelAsked = new HashSet<>();
     /** Where each task is, by task name. */
     public final Map<String, String> places = new HashMap<>();
@@ -113,6 +117,11 @@
         if (spec.spread() && here + 1 > (spec.tasks() + 1) / 2) {
             broke("wrong_place", task + " makes too many of its job in " + zone);
         }
+        for (String needed : spec.awaits()) {
+            if (!allDone(needed)) {
+                broke("too_early", task + " starts before " + needed + " is done");
+            }
+        }
         String before = places.put(task, machine + "@" + zone);
         placesOf.computeIfAbsent(id, i -> new HashMap<>()).put(task, machine + "@" + zone);
         late(task);
@@ -135,6 +144,37 @@
         }
     }
 
+    /** True once all tasks of the job have completed. */
+    public boolean allDone(String id) {
+        return specs.containsKey(id) && completedOf.getOrDefault(id, 0) == specs.get(id).tasks();
+    }
+
+    /** All jobs that this one needs, directly or through others. */
+    public Set<String> neededBy(String id) {
+        Set<String> all = new LinkedHashSet<>();
+        Deque<String> due = new ArrayDeque<>(List.of(id));
+        while (!due.isEmpty()) {
+            JobSpec spec = specs.get(due.poll());
+            if (spec != null) {
+                spec.awaits().stream().filter(all::add).forEach(due::add);
+            }
+        }
+        return all;
+    }
+
+    /** When a user was first told of a cancellation that ends this job; never, if none does. */
+    private long endedWithAnother(String id) {
+        long first = Long.MAX_VALUE;
+        for (String needed : neededBy(id)) {
+            first = Math.min(first, cancelledAt.getOrDefault(needed, Long.MAX_VALUE));
+        }
+        return first == Long.MAX_VALUE ? first : Math.max(first, acceptedAt.getOrDefault(id, 0L));
+    }
+
+    private boolean mayBeCancelled(String id) {
+        return cancelAsked.contains(id) || neededBy(id).stream().anyMatch(cancelAsked::contains);
+    }
+
     /** True if the team may use so much more. */
     public boolean allows(String team, double cpus) {
         double limit = limits.getOrDefault(team, 0.0);
@@ -152,10 +192,14 @@
     }
 
     private void late(String task) {
-        Long at = cancelledAt.get(task.substring(0, task.lastIndexOf('/')));
+        String id = task.substring(0, task.lastIndexOf('/'));
+        Long at = cancelledAt.get(id);
         if (at != null && loop.now() > at + cancelMs) {
             broke("ran_cancelled", task);
         }
+        if (!specs.get(id).awaits().isEmpty() && loop.now() - cancelMs > endedWithAnother(id)) {
+            broke("orphaned", task + " is on a machine");
+        }
     }
 
     /** When the first task of the job began to run; never, if it did not. */
@@ -205,7 +249,7 @@
         if (over && !before.equals(state)) {
             broke("went_back", id + " from " + before + " to " + state);
         }
-        if (state.equals("cancelled") && !cancelAsked.contains(id)) {
+        if (state.equals("cancelled") && !mayBeCancelled(id)) {
             broke("went_back", id + " is called cancelled, which nobody asked for");
         }
         if (state.equals("done")) {
@@ -215,8 +259,11 @@
                 }
             }
         }
+        acceptedAt.putIfAbsent(id, loop.now());
         if (state.equals("cancelled")) {
             cancelledAt.putIfAbsent(id, loop.now());
+        } else if (!state.equals("done") && askedAt - cancelMs > endedWithAnother(id)) {
+            broke("orphaned", id + " is called " + state);
         }
         answeredAt.put(id, loop.now());
         if (state.equals("done") || state.equals("cancelled")) {
--- a/emulator/src/main/java/org/landingridge/emulator/StateService.java
+++ b/emulator/src/main/java/org/landingridge/emulator/StateService.java
@@ -71,7 +71,7 @@
     public final Set<String> unread = new HashSet<>();
     /** The client whose request is served now; null where nobody asked by name. */
     private String asking;
-    /** Values larger than {@link #valueBytes} that were sent. */
+    /** Values larger than {@link #valueBytes}, and transactions larger than {@link #txnOps}, that were sent. */
     public int tooLarge;
     /** The most requests, and puts and deletes, in any second. */
     public int mostRequests;
@@ -87,6 +87,8 @@
     public double writeRps;
     public int tooMany;
     public int valueBytes = 4096;
+    /** Puts and deletes to a transaction, and a quarter of its conditions. */
+    public int txnOps = 8;
     /** So many changes are kept for watches. */
     public int keptChanges = 10_000;
     /** Share of transactions that get no answer; whether they are carried out at once or later, after newer ones; by whose chance. */
@@ -433,6 +435,11 @@
 
     private void commit(JsonNode body, Exchange x) {
         writes += body.path("writes").size();
+        if (body.path("writes").size() > txnOps || body.path("guards").size() > 4 * txnOps) {
+            tooLarge++;
+            x.answer(400, Json.bytes(Json.object().put("error", "too many operations")));
+            return;
+        }
         ArrayNode failed = Json.array();
         for (JsonNode g : body.path("guards")) {
             String key = g.get("key").textValue();
@@ -443,7 +450,7 @@
         }
         for (JsonNode w : body.path("writes")) {
             if (w.has("permit") && !leases.containsKey(w.get("permit").longValue())) {
-                x.answer(400, new byte[0]);
+                x.answer(400, Json.bytes(Json.object().put("error", "no such lease")));
                 return;
             }
             if (w.has("data") && Json.bytes(w.get("data")).length > valueBytes) {
--- a/experiment/src/main/java/org/landingridge/experiment/Experiment.java
+++ b/experiment/src/main/java/org/landingridge/experiment/Experiment.java
@@ -23,17 +23,26 @@
  * What is to be played, read from a TOML file that {@code experiment.schema.json} describes.
  *
  * @param up    ordinary machines that are up at the start
+ * @param next  the state service's limits after the fault {@code limits_fall}, which upgraded controllers are told of
  * @param ended jobs that ended before, in segments or with a key each
  */
 public record Experiment(String name, List<Long> seeds, int durationS, int controllers, int machines, int up,
-        double bootS, double reportS, double leaseS, double cancelS, Settings.State state, int ended, HistoryProbe.Form form,
-        Map<String, Settings.Team> teams, List<Arrivals> arrivals, List<Fault> faults, Meetings meetings) {
+        double bootS, double reportS, double leaseS, double cancelS, Settings.State state, Settings.State next, int ended,
+        HistoryProbe.Form form, Map<String, Settings.Team> teams, List<Arrivals> arrivals, List<Pipelines> pipelines,
+        List<Fault> faults, Meetings meetings) {
 
     /** A class of jobs: so many at the start, and then by chance so many a minute. */
     public record Arrivals(String jobClass, String team, boolean service, int tasksMin, int tasksMax, double cpus,
             double runS, double perMinute, int initial, double fromS, double untilS, Priority priority, double checkpointS,
             double mistaken, double cancelled, Placing placing) {}
 
+    /** Pipelines that come by chance, so many a minute; of a share of them the user calls off one job. */
+    public record Pipelines(String team, double perMinute, double fromS, double untilS, double cancelled, List<Stage> stages) {}
+
+    /** Between so many jobs of one class, each of which awaits every job of the stages that it needs. */
+    public record Stage(String jobClass, int jobsMin, int jobsMax, int tasksMin, int tasksMax, double cpus, double runS,
+            Priority priority, List<Integer> needs) {}
+
     /** How the tasks of a class's jobs are bound to zones. */
     public enum Placing { ANYWHERE, ONE_ZONE, SCATTER, ZONE_A }
 
@@ -51,7 +60,7 @@
             LOST_ANSWERS, FREEZE_LEADER, FREEZE_ALL, REFUSE_LEADER_STATE, CUT_LEADER_PEERS, RESTART_MACHINES, BOOT_TROUBLE,
             POLL_STORM, COPIES, LATE_WRITES, LATE_REPORTS, DEAF_MACHINES, CUT_LEADER_STATE_PEERS, CRASH_OTHER, HOLD_ORDERS,
             REFUSE_OTHER_STATE, UNANSWERED_WRITES, KEPT_REPORTS, MUTE_MACHINES, CANCEL_NOW, CANCEL_AND_HANG, CANCEL_AT_END,
-            ODD_REQUESTS, CLOSE_LOOKS, HAND_OVERS
+            ODD_REQUESTS, CLOSE_LOOKS, HAND_OVERS, UPGRADE, LIMITS_FALL
         }
     }
 
@@ -107,6 +116,10 @@
             }
             arrivals.add(made);
         }
+        List<Pipelines> pipelines = new ArrayList<>();
+        for (JsonNode p : n.path("pipelines")) {
+            pipelines.add(pipelines(file + ": pipelines[" + pipelines.size() + "]", p, teams));
+        }
         List<Fault> faults = new ArrayList<>();
         for (JsonNode f : n.path("faults")) {
             faults.add(new Fault(f.get("at_s").doubleValue(),
@@ -123,6 +136,7 @@
         }
         JsonNode c = n.path("cluster");
         JsonNode s = n.path("state");
+        Settings.State state = limits(s, new Settings.State(250, 50, 4, 8));
         int machines = c.path("machines").asInt(20);
         int up = c.path("up").asInt(0);
         if (up > machines) {
@@ -133,11 +147,37 @@
         return new Experiment(n.get("name").textValue(), seeds, n.get("duration_s").intValue(),
                 c.path("controllers").asInt(3), machines, up, c.path("boot_s").asDouble(3), c.path("report_s").asDouble(1),
                 c.path("lease_s").asDouble(8), c.path("cancel_s").asDouble(World.CANCEL_MS / 1000.0),
-                new Settings.State(s.path("rps").asDouble(250), s.path("write_rps").asDouble(50),
-                        s.path("value_kb").asDouble(4), s.path("txn_ops").asInt(8)),
-                n.path("history").path("ended").asInt(0),
+                state, limits(s.path("next"), state), n.path("history").path("ended").asInt(0),
                 n.path("history").path("form").asText("segments").equals("keys") ? HistoryProbe.Form.KEYS
-                        : HistoryProbe.Form.SEGMENTS, teams, arrivals, faults, meetings);
+                        : HistoryProbe.Form.SEGMENTS, teams, arrivals, pipelines, faults, meetings);
+    }
+
+    private static Settings.State limits(JsonNode s, Settings.State otherwise) {
+        return new Settings.State(s.path("rps").asDouble(otherwise.rps()), s.path("write_rps").asDouble(otherwise.writeRps()),
+                s.path("value_kb").asDouble(otherwise.valueKb()), s.path("txn_ops").asInt(otherwise.txnOps()));
+    }
+
+    private static Pipelines pipelines(String at, JsonNode p, Map<String, Settings.Team> teams) throws BadSettings {
+        if (!teams.containsKey(p.get("team").textValue())) {
+            throw new BadSettings(at + ".team: expected a team of this file, got " + p.get("team").textValue());
+        }
+        List<Stage> stages = new ArrayList<>();
+        for (JsonNode s : p.get("stages")) {
+            List<Integer> needs = new ArrayList<>();
+            for (JsonNode need : s.path("needs")) {
+                if (need.intValue() >= stages.size()) {
+                    throw new BadSettings(at + ".stages: expected needs to name earlier stages, got " + need);
+                }
+                needs.add(need.intValue());
+            }
+            int jobs = s.path("jobs_min").asInt(1);
+            int tasks = s.path("tasks_min").asInt(1);
+            stages.add(new Stage(s.get("class").textValue(), jobs, Math.max(jobs, s.path("jobs_max").asInt(jobs)), tasks,
+                    Math.max(tasks, s.path("tasks_max").asInt(tasks)), s.path("cpus").asDouble(1), s.path("run_s").asDouble(10),
+                    Priority.of(s.path("priority").asText("normal")), needs));
+        }
+        return new Pipelines(p.get("team").textValue(), p.path("per_minute").asDouble(1), p.path("from_s").asDouble(0),
+                p.path("until_s").asDouble(Double.MAX_VALUE), p.path("cancelled").asDouble(0), stages);
     }
 
     private static Fault.Kind kind(JsonNode name) {
--- a/experiment/src/main/java/org/landingridge/experiment/Play.java
+++ b/experiment/src/main/java/org/landingridge/experiment/Play.java
@@ -34,6 +34,7 @@
     /** After the last trouble the world has so long to calm down before it is judged whether anybody waits beside free room. */
     private static final int CALM_S = 2;
     private static final int HAND_OVER_EVERY_MS = 4_500;
+    private static final int UPGRADE_EVERY_MS = 10_000;
     private final Experiment plan;
     private final World world;
     private final SplittableRandom random;
@@ -118,6 +119,7 @@
         world.cloud.bootMs = Math.round(plan.bootS() * 1000);
         world.enforceLimits();
         plan.arrivals().forEach(this::arrive);
+        plan.pipelines().forEach(this::arrive);
         plan.faults().forEach(f -> world.at(Math.round(f.atS() * 1000), () -> begin(f)));
         meetings(plan, seed).forEach(f -> world.at(Math.round(f.atS() * 1000), () -> begin(f)));
         world.at((plan.durationS() - LAST_POLL_S) * 1_000L, this::askForAll);
@@ -156,6 +158,45 @@
         }
     }
 
+    private void arrive(Experiment.Pipelines p) {
+        double until = Math.min(p.untilS(), plan.durationS()) * 1_000;
+        for (double t = p.fromS() * 1_000; t < until;) {
+            pipeline(p, Math.round(t));
+            t += -Math.log(1 - random.nextDouble()) * 60_000 / p.perMinute();
+        }
+    }
+
+    /** One pipeline; each job is submitted as soon as those that it awaits are accepted. */
+    private void pipeline(Experiment.Pipelines p, long atMs) {
+        List<List<String>> stages = new ArrayList<>();
+        List<String> all = new ArrayList<>();
+        for (Experiment.Stage s : p.stages()) {
+            List<String> awaited = s.needs().stream().flatMap(n -> stages.get(n).stream()).toList();
+            List<String> made = new ArrayList<>();
+            int jobs = s.jobsMin() + random.nextInt(s.jobsMax() - s.jobsMin() + 1);
+            for (int i = 0; i < jobs; i++) {
+                JobSpec spec = new JobSpec(World.id(number++), s.jobClass(), p.team(), false, s.priority(),
+                        s.tasksMin() + random.nextInt(s.tasksMax() - s.tasksMin() + 1), s.cpus(), 0, s.cpus(),
+                        "img-" + random.nextInt(4), 0.3, null, null, false, false, true, s.runS() * (0.5 + random.nextDouble()),
+                        0, 0, null).awaiting(awaited);
+                made.add(spec.id());
+                ids.add(spec.id());
+                submitted++;
+                world.at(atMs, () -> world.submitWhenAwaitedAreAccepted(spec));
+            }
+            stages.add(made);
+            all.addAll(made);
+        }
+        if (random.nextDouble() < p.cancelled()) {
+            String called = all.get(random.nextInt(all.size()));
+            world.at(atMs + random.nextInt(60_000), () -> {
+                if (world.rules.told.containsKey(called)) {
+                    world.cancel(called);
+                }
+            });
+        }
+    }
+
     private void submit(Experiment.Arrivals a, long atMs) {
         JobSpec spec = new JobSpec(World.id(number++), a.jobClass(), a.team(), a.service(), a.priority(),
                 a.tasksMin() + random.nextInt(a.tasksMax() - a.tasksMin() + 1), a.cpus(), 0, a.cpus(),
@@ -272,6 +313,8 @@
                 world.closeLooks = true;
                 world.at(world.sim.now + forMs, () -> world.closeLooks = false);
             }
+            case UPGRADE -> world.upgrade(world.sim.now, UPGRADE_EVERY_MS, forMs, plan.next());
+            case LIMITS_FALL -> world.limitsFall(plan.next());
             case HAND_OVERS -> handOver(world.sim.now + forMs);
             case RESTART_MACHINES -> some(f.count()).forEach(w -> world.restart(w, forMs));
             case BOOT_TROUBLE -> {
--- a/experiment/src/main/java/org/landingridge/experiment/World.java
+++ b/experiment/src/main/java/org/landingridge/experiment/World.java
@@ -70,6 +70,8 @@
     }
 
     private final Setup setup;
+    /** The state service's limits that controllers are told of which begin from now on. */
+    Settings.State announced;
     final Sim sim;
     final StateService state;
     final Cloud cloud;
@@ -132,7 +134,7 @@
             Settings settings = new Settings("rig-" + index, "a", new InetSocketAddress("127.0.0.1", 1),
                     new InetSocketAddress("127.0.0.1", 2), peers, "cloud", "state-" + index, List.of("a", "b"), 25,
                     setup.teams, List.of(), new Settings.Workers(setup.reportMs / 1000.0, setup.leaseMs / 1000.0,
-                    setup.cancelMs / 1000.0), setup.state, new Settings.Cloud(5, LAG_MS / 1000.0),
+                    setup.cancelMs / 1000.0), announced, new Settings.Cloud(5, LAG_MS / 1000.0),
                     new Settings.Machine(1, 200, 1000));
             controller = new Controller(host, sim.client(host), (to, message) -> {
                 Node peer = nodes.get(indexOf(to));
@@ -208,6 +210,7 @@
 
     World(Setup setup) {
         this.setup = setup;
+        this.announced = setup.state;
         this.controllers = setup.controllers;
         sim = new Sim(setup.seed);
         users = sim.host("users");
@@ -238,6 +241,25 @@
         lookWhetherClosed();
     }
 
+    /** The controllers end one after the other and are back as a version that is told of other limits. */
+    void upgrade(long fromMs, long everyMs, long backAfterMs, Settings.State limits) {
+        for (Node n : nodes) {
+            at(fromMs + n.index * everyMs, () -> {
+                announced = limits;
+                if (n.host.up) {
+                    n.crash(backAfterMs);
+                }
+            });
+        }
+    }
+
+    /** The state service's limits fall without notice. */
+    void limitsFall(Settings.State limits) {
+        state.valueBytes = limits.valueBytes();
+        state.txnOps = limits.txnOps();
+        state.writeRps = Math.min(state.writeRps, limits.writeRps());
+    }
+
     /** From here on the state service refuses what is beyond its limits. */
     void enforceLimits() {
         state.rps = setup.state.rps();
@@ -406,6 +428,15 @@
         ask(spec.id(), "submit", "POST", "/api/jobs", Json.bytes(spec.json()), 60);
     }
 
+    /** A user submits a job as soon as all that it awaits are accepted. */
+    void submitWhenAwaitedAreAccepted(JobSpec spec) {
+        if (rules.told.keySet().containsAll(spec.awaits())) {
+            submit(spec);
+        } else {
+            users.after(LOOK_MS, () -> submitWhenAwaitedAreAccepted(spec));
+        }
+    }
+
     void cancel(String id) {
         rules.cancelAsked.add(id);
         ask(id, "cancel", "POST", "/api/jobs/" + id + "/cancel", new byte[0], 60);
--- a/experiment/src/test/java/org/landingridge/experiment/EndedJobsTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/EndedJobsTest.java
@@ -12,9 +12,9 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.landingridge.controller.history.Place;
-import org.landingridge.controller.history.Roll;
 import org.landingridge.controller.history.Segment;
 import org.landingridge.controller.store.Keys;
+import org.landingridge.controller.upgrade.Capabilities;
 import org.landingridge.wire.BadMessage;
 import org.landingridge.wire.Json;
 
@@ -175,7 +175,7 @@
         w.ended(100_000, MANY, 1);
         w.nodes.get(2).crash(1_000_000);
         w.sim.run(1);
-        w.state.seed(Roll.ROOT + "rig-2", Json.object().put("history", 0));
+        w.state.seed(Capabilities.ROOT + "rig-2", Json.object().put("history", 0));
         w.sim.run(150_000);
         assertEquals(0, moved(w));
         w.nodes.get(2).boot();
--- a/experiment/src/test/java/org/landingridge/experiment/TwoCompactorsTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/TwoCompactorsTest.java
@@ -8,10 +8,10 @@
 import java.util.Set;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.landingridge.controller.config.Settings;
 import org.landingridge.controller.history.Compactor;
 import org.landingridge.controller.history.History;
 import org.landingridge.controller.history.Place;
-import org.landingridge.controller.history.Roll;
 import org.landingridge.controller.history.Segment;
 import org.landingridge.controller.jobs.JobTable;
 import org.landingridge.controller.obs.Metrics;
@@ -19,6 +19,7 @@
 import org.landingridge.controller.store.Mirror;
 import org.landingridge.controller.store.StateClient;
 import org.landingridge.controller.store.StateClient.Write;
+import org.landingridge.controller.upgrade.Capabilities;
 import org.landingridge.emulator.Sim;
 import org.landingridge.emulator.StateService;
 import org.landingridge.wire.BadMessage;
@@ -37,20 +38,20 @@
         StateClient client = new StateClient(sim.client(host), "state");
         Metrics metrics = new Metrics(host::nanos);
         History[] history = new History[1];
-        Roll[] roll = new Roll[1];
+        Capabilities[] capabilities = new Capabilities[1];
         JobTable table = new JobTable(host::now, id -> { });
         Mirror mirror = new Mirror(client, host, Keys.ROOT, "lr", 30, metrics.busy, (key, value, version) -> {
             if (key.startsWith(Keys.JOBS)) {
                 table.changed(key.substring(Keys.JOBS.length()), value, version);
             } else if (key.startsWith(Place.ROOT)) {
                 history[0].changed(key, value, version);
-            } else if (key.startsWith(Roll.ROOT)) {
-                roll[0].changed(key, value);
+            } else if (key.startsWith(Capabilities.ROOT)) {
+                capabilities[0].changed(key, value);
             }
         });
         history[0] = new History(client, mirror, metrics);
-        roll[0] = new Roll(client, mirror, host, name, List.of("a", "b"));
-        Compactor compactor = new Compactor(client, mirror, host, table, history[0], roll[0], metrics,
+        capabilities[0] = new Capabilities(client, mirror, host, name, List.of("a", "b"));
+        Compactor compactor = new Compactor(client, mirror, host, table, history[0], capabilities[0], metrics,
                 new Compactor.Reign() {
                     @Override
                     public boolean mayAct() {
@@ -63,14 +64,14 @@
                     }
 
                     @Override
-                    public Set<String> onMachines() {
+                    public Set<String> needed() {
                         Set<String> held = new HashSet<>();
                         for (int i = odd ? 1 : 0; i < JOBS; i += 2) {
                             held.add(id(i));
                         }
                         return held;
                     }
-                }, () -> leader, 8, 400, 0.5);
+                }, () -> leader, new Settings.State(1_000, 400, 4, 8), 0.5);
         mirror.start();
         compactor.start();
     }
@@ -115,8 +116,8 @@
         for (int i = 0; i < JOBS; i++) {
             state.seed(Keys.JOBS + id(i), Json.object().put("ended", "DONE").put("takes", 1 + i % 200));
         }
-        state.seed(Roll.ROOT + "a", Json.object().put("history", 1));
-        state.seed(Roll.ROOT + "b", Json.object().put("history", 1));
+        state.seed(Capabilities.ROOT + "a", Json.object().put("history", 1));
+        state.seed(Capabilities.ROOT + "b", Json.object().put("history", 1));
         state.seed(Keys.LEADER, Json.object().put("host", "a"));
     }
 
--- a/wire/src/main/java/org/landingridge/wire/JobSpec.java
+++ b/wire/src/main/java/org/landingridge/wire/JobSpec.java
@@ -3,22 +3,51 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 
-/** What a user submits: one job, checked field by field. */
+/**
+ * What a user submits: one job, checked field by field.
+ *
+ * @param awaits ids of the jobs that have to be done before any task of this one starts, each once; never null
+ */
 public record JobSpec(String id, String jobClass, String team, boolean service, Priority priority, int tasks,
         double cpus, double gpus, double memoryGb, String image, double imageGb, List<String> types, String zone,
         boolean oneZone, boolean spread, boolean spot, double estimateS, double checkpointS, double saveS,
-        Double deadlineS) {
+        Double deadlineS, List<String> awaits) {
 
     public static final int MAX_BODY = 64 * 1024;
     public static final int MAX_TASKS = 100_000;
+    /** Jobs that one job may await. */
+    public static final int MAX_AWAITED = 64;
     private static final int MAX_NAME = 200;
     private static final String ID_START = "job-";
     /** What a user's job has to carry; the others may be null, and so may be left out. */
     private static final List<String> REQUIRED = List.of("id", "lane", "crew", "shape", "urgency", "takes", "cpus", "cards",
             "memoryGb", "reel", "sizeGb", "oneZone", "scatter", "standby", "runtimeS", "savepointS", "flushS");
 
+    /** A job that awaits no other. */
+    public JobSpec(String id, String jobClass, String team, boolean service, Priority priority, int tasks, double cpus,
+            double gpus, double memoryGb, String image, double imageGb, List<String> types, String zone, boolean oneZone,
+            boolean spread, boolean spot, double estimateS, double checkpointS, double saveS, Double deadlineS) {
+        this(id, jobClass, team, service, priority, tasks, cpus, gpus, memoryGb, image, imageGb, types, zone, oneZone,
+                spread, spot, estimateS, checkpointS, saveS, deadlineS, List.of());
+    }
+
+    /** The same job, with other jobs to await. */
+    public JobSpec awaiting(Collection<String> ids) {
+        return new JobSpec(id, jobClass, team, service, priority, tasks, cpus, gpus, memoryGb, image, imageGb, types, zone,
+                oneZone, spread, spot, estimateS, checkpointS, saveS, deadlineS, List.copyOf(ids));
+    }
+
+    /** The same job without its list of machine types, which is the one part of a description that has no bound. */
+    public JobSpec withoutTypes() {
+        return new JobSpec(id, jobClass, team, service, priority, tasks, cpus, gpus, memoryGb, image, imageGb, null, zone,
+                oneZone, spread, spot, estimateS, checkpointS, saveS, deadlineS, awaits);
+    }
+
     /** True for names of the form that users choose for their jobs. */
     public static boolean validId(String id) {
         if (id == null || id.length() <= ID_START.length() || id.length() > 64 || !id.startsWith(ID_START)) {
@@ -95,7 +124,8 @@
         return new JobSpec(id, name(n, "lane", true), name(n, "crew", true), shape.equals("standing"), priority,
                 count.intValue(), cpus, gpus, amount(n, "memoryGb", true), image, amount(n, "sizeGb", false), types,
                 name(n, "yard", false), bool(n, "oneZone"), bool(n, "scatter"), bool(n, "standby"),
-                amount(n, "runtimeS", false), amount(n, "savepointS", false), amount(n, "flushS", false), deadline);
+                amount(n, "runtimeS", false), amount(n, "savepointS", false), amount(n, "flushS", false), deadline,
+                awaits(n));
     }
 
     /** The form in which a job is written to the state service; {@link #read} reads it back. */
@@ -109,9 +139,33 @@
         if (types != null) {
             types.forEach(n.putArray("rigs")::add);
         }
+        if (!awaits.isEmpty()) {
+            awaits.forEach(n.putArray("awaits")::add);
+        }
         return n;
     }
 
+    private static List<String> awaits(JsonNode n) throws BadMessage {
+        JsonNode value = n.get("awaits");
+        if (value == null || value.isNull()) {
+            return List.of();
+        }
+        if (!value.isArray()) {
+            throw new BadMessage("field awaits: expected a list of job ids or null");
+        }
+        Set<String> ids = new LinkedHashSet<>();
+        for (JsonNode id : value) {
+            if (!id.isTextual() || !validId(id.textValue())) {
+                throw new BadMessage("field awaits: expected names such as job-000412");
+            }
+            ids.add(id.textValue());
+        }
+        if (ids.size() > MAX_AWAITED) {
+            throw new BadMessage("field awaits: expected at most " + MAX_AWAITED + " jobs");
+        }
+        return List.copyOf(ids);
+    }
+
     private static String name(JsonNode n, String field, boolean required) throws BadMessage {
         JsonNode value = n.get(field);
         if (value == null || value.isNull()) {
--- a/wire/src/test/java/org/landingridge/wire/JobSpecTest.java
+++ b/wire/src/test/java/org/landingridge/wire/JobSpecTest.java
@@ -32,7 +32,8 @@
     @ParameterizedTest
     @CsvSource({"id,'\"x\"'", "id,null", "id,7", "lane,null", "crew,''", "shape,'\"gang\"'", "urgency,'\"high\"'",
         "takes,0", "takes,100001", "takes,1.5", "takes,'\"3\"'", "cpus,-1", "cpus,'\"1\"'", "memoryGb,null",
-        "rigs,'\"g8\"'", "rigs,'[1]'", "oneZone,1", "airtimeS,-3", "runtimeS,1e300"})
+        "rigs,'\"g8\"'", "rigs,'[1]'", "awaits,'\"job-000001\"'", "awaits,'[1]'", "awaits,'[\"x\"]'", "awaits,'{}'", "awaits,'[null]'",
+        "oneZone,1", "airtimeS,-3", "runtimeS,1e300"})
     void aWrongFieldIsNamed(String field, String json) {
         ObjectNode n = good();
         if (json == null || json.isEmpty()) {
@@ -50,6 +51,25 @@
         assertThrows(BadMessage.class, () -> JobSpec.parse(Json.parse(body.getBytes(StandardCharsets.UTF_8))));
     }
 
+    @ParameterizedTest
+    @CsvSource({"'null',''", "'[]',''", "'[\"job-000398\",\"job-000405\",\"job-000398\"]','job-000398 job-000405'"})
+    void awaitedJobsAreReadOnceEach(String json, String expected) throws BadMessage {
+        ObjectNode n = good();
+        n.set("awaits", Json.parse(json.getBytes(StandardCharsets.UTF_8)));
+        JobSpec spec = JobSpec.parse(n);
+        assertEquals(expected, String.join(" ", spec.awaits()));
+        assertEquals(spec, JobSpec.read(Json.parse(Json.bytes(spec.json()))));
+    }
+
+    @Test
+    void moreAwaitedJobsThanMayBeAreMalformed() {
+        ObjectNode n = good();
+        for (int i = 0; i <= JobSpec.MAX_AWAITED; i++) {
+            n.withArray("awaits").add("job-" + i);
+        }
+        assertThrows(BadMessage.class, () -> JobSpec.parse(n));
+    }
+
     @Test
     void deepNestingIsNoJson() {
         String deep = "[".repeat(30_000) + "]".repeat(30_000);
