--- /dev/null
+++ b/cli/src/main/java/org/landingridge/cli/ControllerCall.java
@@ -0,0 +1,31 @@
+package org.landingridge.cli;
+
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import org.landingridge.net.Http.Reply;
+import org.landingridge.net.HttpClient;
+import org.landingridge.net.XnioLoop;
+import org.xnio.XnioWorker;
+
+/** One call to a controller from a shell. */
+final class ControllerCall {
+    private static final int TIMEOUT_MS = 10_000;
+
+    private ControllerCall() {}
+
+    static Reply to(String server, String method, String path, byte[] body) throws IOException, InterruptedException {
+        XnioWorker worker = XnioLoop.worker();
+        try {
+            XnioLoop loop = new XnioLoop(worker.getIoThread());
+            CompletableFuture<Reply> answer = new CompletableFuture<>();
+            HttpClient client = new HttpClient(worker.getIoThread(), loop, 1);
+            loop.after(0, () -> client.call(server, method, path, body, TIMEOUT_MS, answer::complete));
+            return answer.get();
+        } catch (ExecutionException e) {
+            throw new IllegalStateException(e.getCause());
+        } finally {
+            worker.shutdownNow();
+        }
+    }
+}
--- a/cli/src/main/java/org/landingridge/cli/Main.java
+++ b/cli/src/main/java/org/landingridge/cli/Main.java
@@ -2,6 +2,7 @@
 
 import org.landingridge.controller.cli.CheckCommand;
 import org.landingridge.controller.cli.RunCommand;
+import org.landingridge.experiment.CapacityCommand;
 import org.landingridge.experiment.ExperimentCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -12,7 +13,8 @@
         description = "A cluster scheduler that treats a timeout as an unknown outcome.",
         subcommands = {RunCommand.class, CheckCommand.class, UserCommands.Submit.class, UserCommands.Show.class,
             UserCommands.Cancel.class, UserCommands.Status.class, LocalCommand.class, ProbeCommand.class,
-            ExperimentCommand.class},
+            ExperimentCommand.class, CapacityCommand.class,
+            ConfigCommand.class},
         footer = {"", "Exit codes: 0 success, 1 failure, 2 bad usage or settings.",
             "LOG_LEVEL (error, info, debug) sets what is logged to standard error."})
 public final class Main implements Runnable {
--- a/cli/src/main/java/org/landingridge/cli/UserCommands.java
+++ b/cli/src/main/java/org/landingridge/cli/UserCommands.java
@@ -3,14 +3,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import org.landingridge.net.Http.Outcome;
 import org.landingridge.net.Http.Reply;
-import org.landingridge.net.HttpClient;
-import org.landingridge.net.XnioLoop;
 import org.landingridge.wire.Json;
-import org.xnio.XnioWorker;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -25,26 +20,15 @@
         private String server;
 
         int ask(String method, String path, byte[] body) throws IOException, InterruptedException {
-            XnioWorker worker = XnioLoop.worker();
-            try {
-                XnioLoop loop = new XnioLoop(worker.getIoThread());
-                CompletableFuture<Reply> answer = new CompletableFuture<>();
-                HttpClient client = new HttpClient(worker.getIoThread(), loop, 1);
-                loop.after(0, () -> client.call(server, method, path, body, 10_000, answer::complete));
-                Reply reply = answer.get();
-                if (reply.outcome() != Outcome.ANSWERED) {
-                    System.err.println("landingridge: no answer from " + server
-                            + (reply.outcome() == Outcome.UNKNOWN ? "; the request may have been carried out" : ""));
-                    return 1;
-                }
-                var tree = Json.parse(reply.body());
-                System.out.println(tree == null ? "status " + reply.status() : tree.toPrettyString());
-                return reply.status() / 100 == 2 ? 0 : 1;
-            } catch (ExecutionException e) {
-                throw new IllegalStateException(e.getCause());
-            } finally {
-                worker.shutdownNow();
+            Reply reply = ControllerCall.to(server, method, path, body);
+            if (reply.outcome() != Outcome.ANSWERED) {
+                System.err.println("landingridge: no answer from " + server
+                        + (reply.outcome() == Outcome.UNKNOWN ? "; the request may have been carried out" : ""));
+                return 1;
             }
+            var tree = Json.parse(reply.body());
+            System.out.println(tree == null ? "status " + reply.status() : tree.toPrettyString());
+            return reply.status() / 100 == 2 ? 0 : 1;
         }
     }
 
--- a/controller/src/main/java/org/landingridge/controller/Controller.java
+++ b/controller/src/main/java/org/landingridge/controller/Controller.java
@@ -13,6 +13,8 @@
 import java.util.random.RandomGenerator;
 import org.landingridge.controller.config.Policy;
 import org.landingridge.controller.config.Settings;
+import org.landingridge.controller.configuration.ConfigurationService;
+import org.landingridge.controller.configuration.ConfigurationView;
 import org.landingridge.controller.history.History;
 import org.landingridge.controller.history.Place;
 import org.landingridge.controller.jobs.Job;
@@ -70,6 +72,8 @@
     private final IncidentReport incidents;
     private final Chronicle chronicle;
     private final JobService jobs;
+    private final ConfigurationView configuration;
+    private final ConfigurationService configurations;
     private final Leadership lead;
     private final CloudClient cloud;
     private final Parts parts;
@@ -117,10 +121,12 @@
                 lead::writeGuard, metrics.busy);
         cloud = new CloudClient(http, loop, settings.cloud(), settings.cloudLimits().rps());
         JobLookup lookup = new JobLookup(client, mirror, table, history);
-        jobs = new JobService(client, mirror, loop, table, lookup, settings, types,
+        configuration = new ConfigurationView(settings.teams());
+        configurations = new ConfigurationService(client, mirror, loop, configuration, settings.host(), settings.stateLimits());
+        jobs = new JobService(client, mirror, loop, table, lookup, configuration, settings, types,
                 () -> capabilities.all(Capabilities.Feature.PIPELINES), metrics);
         parts = new Parts(loop, http, random, settings, policy, client, mirror, lead, writer, cloud, table, history, lookup,
-                capabilities, types, metrics, incidents, chronicle);
+                capabilities, configuration, types, metrics, incidents, chronicle);
     }
 
     /** What tells of this controller's recoveries. */
@@ -231,6 +237,11 @@
             history.changed(key, value, version);
         } else if (key.startsWith(Capabilities.ROOT)) {
             capabilities.changed(key, value);
+        } else if (key.startsWith(ConfigurationView.ROOT)) {
+            configuration.changed(key, value);
+            if (reign != null) {
+                reign.changed();
+            }
         } else if (key.equals(Keys.LEADER)) {
             String before = lead.leaderHost();
             lead.keyChanged(value, version);
@@ -329,6 +340,12 @@
         } else if (path.equals("/metrics")) {
             only("GET", method, exchange, () -> exchange.answer(200,
                     metrics.text().getBytes(StandardCharsets.UTF_8)));
+        } else if (path.equals("/api/config/history")) {
+            only("GET", method, exchange, () -> configurations.history(exchange));
+        } else if (path.equals("/api/config") && method.equals("POST")) {
+            user(() -> configurations.change(exchange));
+        } else if (path.equals("/api/config")) {
+            only("GET", method, exchange, () -> configurations.show(exchange));
         } else if (path.equals("/api/status")) {
             only("GET", method, exchange, () -> exchange.answer(200, status()));
         } else if (path.startsWith("/api/jobs/")) {
@@ -441,7 +458,7 @@
         ObjectNode n = Json.object();
         n.put("host", settings.host()).put("leadership", lead.state().name()).put("leader", lead.leaderHost())
                 .put("token", lead.leads() ? lead.token() : 0)
-                .put("ready", ready()).put("revision", mirror.revision()).put("jobs", table.size())
+                .put("configuration", configuration.current().number()).put("ready", ready()).put("revision", mirror.revision()).put("jobs", table.size())
                 .put("activeJobs", table.active().size());
         if (reign != null) {
             reign.describe(n);
--- /dev/null
+++ b/controller/src/main/java/org/landingridge/controller/configuration/ConfigurationRecord.java
@@ -0,0 +1,53 @@
+package org.landingridge.controller.configuration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.landingridge.wire.BadMessage;
+import org.landingridge.wire.Json;
+
+/**
+ * One change as the bounded log keeps it.
+ *
+ * @param number  of the change, counted from 1
+ * @param key     by which a lost answer is settled
+ * @param at      time of day, in milliseconds
+ * @param by      who made it
+ * @param why     in the operator's words
+ * @param before  of each team that it concerns; null values: only the platform's file spoke of it, or nobody
+ * @param after   of the same teams; null: only the platform's file speaks of it again
+ */
+record ConfigurationRecord(long number, String key, long at, String by, String why, Map<String, ConfiguredTeam> before,
+        Map<String, ConfiguredTeam> after) {
+
+    ObjectNode json() {
+        ObjectNode n = Json.object();
+        n.put("number", number).put("key", key).put("at", at).put("by", by).put("why", why);
+        n.set("before", rows(before));
+        n.set("after", rows(after));
+        return n;
+    }
+
+    static JsonNode rows(Map<String, ConfiguredTeam> teams) {
+        ObjectNode rows = Json.object();
+        teams.forEach((name, team) -> rows.set(name, team == null ? null : team.json()));
+        return rows;
+    }
+
+    static Map<String, ConfiguredTeam> teams(JsonNode rows) throws BadMessage {
+        if (rows == null || !rows.isObject()) {
+            throw new BadMessage("expected rows of teams");
+        }
+        Map<String, ConfiguredTeam> teams = new LinkedHashMap<>();
+        for (Map.Entry<String, JsonNode> row : rows.properties()) {
+            teams.put(row.getKey(), row.getValue().isNull() ? null : ConfiguredTeam.read(row.getKey(), row.getValue()));
+        }
+        return teams;
+    }
+
+    static ConfigurationRecord read(JsonNode n) throws BadMessage {
+        return new ConfigurationRecord(Json.integer(n, "number", 0), Json.text(n, "key"), Json.integer(n, "at", 0),
+                Json.text(n, "by"), Json.text(n, "why"), teams(n.get("before")), teams(n.get("after")));
+    }
+}
--- /dev/null
+++ b/controller/src/main/java/org/landingridge/controller/configuration/ConfiguredTeam.java
@@ -0,0 +1,38 @@
+package org.landingridge.controller.configuration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import org.landingridge.controller.config.Settings;
+import org.landingridge.wire.BadMessage;
+import org.landingridge.wire.Json;
+
+/**
+ * A team as it is configured now.
+ *
+ * @param limits  its guarantee and limit
+ * @param removed nothing new is accepted from it; what was accepted still runs within these limits
+ */
+public record ConfiguredTeam(Settings.Team limits, boolean removed) {
+    private static final int FIELDS = 5;
+
+    /** The stored form: guarantee and limit of processors, of accelerators, and 1 for a removed team. */
+    JsonNode json() {
+        ArrayNode row = Json.array();
+        row.add(limits.cpus()).add(limits.cpusMax()).add(limits.gpus()).add(limits.gpusMax()).add(removed ? 1 : 0);
+        return row;
+    }
+
+    static ConfiguredTeam read(String name, JsonNode row) throws BadMessage {
+        if (row == null || !row.isArray() || row.size() != FIELDS) {
+            throw new BadMessage("team " + name + ": expected a row of " + FIELDS + " numbers");
+        }
+        for (JsonNode field : row) {
+            if (!field.isNumber() || !(field.doubleValue() >= 0)) {
+                throw new BadMessage("team " + name + ": expected numbers, 0 or more");
+            }
+        }
+        Settings.Team limits = new Settings.Team(name, row.get(0).doubleValue(), row.get(1).doubleValue(),
+                row.get(2).doubleValue(), row.get(3).doubleValue());
+        return new ConfiguredTeam(limits, row.get(4).intValue() == 1);
+    }
+}
--- a/controller/src/main/java/org/landingridge/controller/reign/Pass.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Pass.java
@@ -7,6 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.landingridge.controller.config.Settings;
+import org.landingridge.controller.configuration.Configuration;
+import org.landingridge.controller.configuration.ConfiguredTeam;
 import org.landingridge.controller.fleet.Attempt;
 import org.landingridge.controller.fleet.Fleet;
 import org.landingridge.controller.fleet.LiveJob;
@@ -15,6 +18,7 @@
 import org.landingridge.controller.ops.Operation;
 import org.landingridge.controller.ops.Operations;
 import org.landingridge.controller.recovery.Picture;
+import org.landingridge.controller.sched.ExcessWork;
 import org.landingridge.controller.sched.Group;
 import org.landingridge.controller.sched.Node;
 import org.landingridge.controller.sched.Peak;
@@ -33,7 +37,14 @@
     private final Fleet fleet;
     private final Operations operations;
     private final Expectations expectations;
+    /** A change is in force within 7 s wherever it was made: beyond that less what a command takes, nothing is started. */
+    private static final long IN_FORCE_MS = 6_000;
+    /** After so long without news of the state service it is asked whether there are any. */
+    private static final long ASK_AGAIN_MS = 2_500;
     private final Map<String, Integer> teamIndex = new HashMap<>();
+    private Configuration configuration;
+    private boolean asking;
+    private long nextExcessStep;
     /** Pools that had nothing to give, until when nothing is asked of them. */
     private final Map<String, Long> noCapacityUntil = new HashMap<>();
     private final Map<String, Integer> refusals = new HashMap<>();
@@ -48,9 +59,6 @@
         this.expectations = expectations;
         this.picture = picture;
         this.began = parts.loop().now();
-        for (String team : parts.settings().teams().keySet()) {
-            teamIndex.put(team, teamIndex.size());
-        }
     }
 
     /** The cloud had less than was asked for in this pool. */
@@ -69,8 +77,10 @@
             return;
         }
         long now = parts.loop().now();
-        List<Team> teams = new ArrayList<>();
-        parts.settings().teams().values().forEach(t -> teams.add(new Team(t.cpus(), t.cpusMax(), t.gpus(), t.gpusMax())));
+        List<Team> teams = teams();
+        if (mayHaveChanged(now)) {
+            return;
+        }
         Map<String, Group> groups = new LinkedHashMap<>();
         for (LiveJob job : fleet.jobs()) {
             int team = teamIndex.getOrDefault(job.spec().team(), -1);
@@ -112,6 +122,57 @@
                 List.copyOf(parts.types().values()), closedPools(now), spare,
                 idleMs, fresh || fleet.unaccounted() > 0 ? Double.MAX_VALUE : kept));
         apply(plan);
+        giveUpExcess(now, nodes, teams);
+    }
+
+    /** The teams as they are configured, all by the same change; a pass looks at the configuration here only. */
+    private List<Team> teams() {
+        Configuration now = parts.configuration().current();
+        if (now != configuration) {
+            configuration = now;
+            teamIndex.clear();
+            now.teams().keySet().forEach(name -> teamIndex.put(name, teamIndex.size()));
+        }
+        List<Team> teams = new ArrayList<>();
+        for (ConfiguredTeam team : now.teams().values()) {
+            Settings.Team t = team.limits();
+            teams.add(new Team(t.cpus(), t.cpusMax(), t.gpus(), t.gpusMax()));
+        }
+        return teams;
+    }
+
+    /**
+     * True while this leader may lack a change that others could have made: it starts nothing that may be forbidden by now.
+     * In an outage nobody can make one, and the promises of all others say so. Where nothing was ever configured, nothing is asked.
+     */
+    private boolean mayHaveChanged(long now) {
+        if (configuration.number() == 0) {
+            return false;
+        }
+        long age = now - parts.lead().known();
+        if (age > ASK_AGAIN_MS && !asking) {
+            asking = true;
+            parts.mirror().barrier(() -> asking = false, () -> asking = false);
+        }
+        return age > IN_FORCE_MS;
+    }
+
+    /** Work beyond limits that were lowered. */
+    private void giveUpExcess(long now, List<Node> nodes, List<Team> teams) {
+        if (configuration.number() == 0 || now < nextExcessStep) {
+            return;
+        }
+        List<Node.Running> stops = ExcessWork.step(nodes, teams);
+        if (!stops.isEmpty()) {
+            nextExcessStep = now + ExcessWork.STEP_MS;
+            stops.forEach(this::stop);
+            fleet.flush();
+        }
+    }
+
+    private void stop(Node.Running r) {
+        Attempt a = (Attempt) r.attempt;
+        fleet.stop(a, a.spec().checkpointS() > 0 && !r.atOnce ? a.spec().saveS() : 0);
     }
 
     /** Processors that the teams ask for within their guarantees; all that they ask for where they have none. */
@@ -228,10 +289,7 @@
                 fleet.place(task, (Machine) p.node().machine);
             }
         }
-        for (Node.Running r : plan.stops) {
-            Attempt a = (Attempt) r.attempt;
-            fleet.stop(a, a.spec().checkpointS() > 0 && !r.atOnce ? a.spec().saveS() : 0);
-        }
+        plan.stops.forEach(this::stop);
         plan.vacated.forEach(n -> fleet.drain((Machine) n.machine));
         fleet.flush();
         boolean known = picture.state(parts.loop().now()) == Picture.State.COMPLETE;
--- a/controller/src/main/java/org/landingridge/controller/users/JobService.java
+++ b/controller/src/main/java/org/landingridge/controller/users/JobService.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.landingridge.controller.config.Settings;
+import org.landingridge.controller.configuration.ConfigurationView;
+import org.landingridge.controller.configuration.ConfiguredTeam;
 import org.landingridge.controller.history.Place;
 import org.landingridge.controller.jobs.Ended;
 import org.landingridge.controller.jobs.Job;
@@ -43,13 +45,15 @@
     private final Settings settings;
     private final Map<String, MachineType> types;
     private final JobLookup lookup;
+    private final ConfigurationView configuration;
     private final BooleanSupplier pipelines;
     private final Metrics metrics;
     private final Admission admission;
     private final Turns turns;
 
     /** @param pipelines whether every controller runs a version that heeds what a job awaits */
-    public JobService(StateClient client, Mirror mirror, Loop loop, JobTable table, JobLookup lookup, Settings settings,
+    public JobService(StateClient client, Mirror mirror, Loop loop, JobTable table, JobLookup lookup, ConfigurationView configuration,
+            Settings settings,
             Map<String, MachineType> types, BooleanSupplier pipelines, Metrics metrics) {
         this.client = client;
         this.mirror = mirror;
@@ -58,6 +62,7 @@
         this.settings = settings;
         this.types = types;
         this.lookup = lookup;
+        this.configuration = configuration;
         this.pipelines = pipelines;
         this.metrics = metrics;
         this.turns = new Turns(loop::now);
@@ -97,9 +102,7 @@
         String impossible = malformed == null && !types.isEmpty() ? impossible(spec) : null;
         if (malformed != null || impossible != null) {
             // The job may be known to others already: then it gets 200, whatever else.
-            int status = malformed != null ? 400 : 422;
-            String why = malformed != null ? malformed : impossible;
-            lookup.find(id, new Told(exchange, id, () -> error(exchange, status, why)));
+            lookup.find(id, new Told(exchange, id, () -> refuse(exchange, spec, malformed)));
         } else if (types.isEmpty()) {
             busy(exchange, "the machine types are not known yet");
         } else if (spec.awaits().isEmpty()) {
@@ -112,6 +115,18 @@
         }
     }
 
+    /** The job is unknown as of the call. What made it impossible may have been changed by an operator a moment ago. */
+    private void refuse(Exchange exchange, JobSpec spec, String malformed) {
+        String impossible = malformed == null ? impossible(spec) : null;
+        if (malformed != null) {
+            error(exchange, 400, malformed);
+        } else if (impossible != null) {
+            error(exchange, 422, impossible);
+        } else {
+            busy(exchange, "the configuration has just changed");
+        }
+    }
+
     /**
      * Looks up the jobs that a submission names. Those that are done already need not be awaited, and the history may forget
      * them for it; if one is cancelled the job is accepted as cancelled.
@@ -189,10 +204,14 @@
 
     /** Why the job can never run, or null. */
     private String impossible(JobSpec spec) {
-        Settings.Team team = settings.teams().get(spec.team());
-        if (team == null) {
+        ConfiguredTeam configured = configuration.current().teams().get(spec.team());
+        if (configured == null) {
             return "field crew: there is no team " + spec.team();
         }
+        if (configured.removed()) {
+            return "field crew: team " + spec.team() + " has been removed";
+        }
+        Settings.Team team = configured.limits();
         if (types.values().stream().noneMatch(t -> t.fits(spec))) {
             return "a task fits no allowed machine type";
         }
--- /dev/null
+++ b/controller/src/test/java/org/landingridge/controller/configuration/ConfigurationViewTest.java
@@ -0,0 +1,59 @@
+package org.landingridge.controller.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.landingridge.controller.config.Settings;
+import org.landingridge.wire.Json;
+
+class ConfigurationViewTest {
+    private final ConfigurationView view = new ConfigurationView(Map.of("blue", new Settings.Team("blue", 1, 2, 0, 0)));
+
+    private static JsonNode page(long number, String rows) {
+        return Json.parse(("{\"number\":" + number + ",\"teams\":" + rows + "}").getBytes(StandardCharsets.UTF_8));
+    }
+
+    private double limit() {
+        return view.current().teams().get("blue").limits().cpusMax();
+    }
+
+    @Test
+    void whatIsStoredGoesBeforeTheFile() {
+        assertEquals(0, view.current().number());
+        assertEquals(2, limit());
+        view.changed(ConfigurationView.PAGE + 0, page(1, "{\"blue\":[1,7,0,0,0]}"));
+        view.changed(ConfigurationView.HEAD, ConfigurationView.head(1, "k", List.of(1L)));
+        assertEquals(1, view.current().number());
+        assertEquals(7, limit());
+    }
+
+    /** While the state is read page by page, documents of two changes can be here together: neither is mixed with the other. */
+    @Test
+    void nothingIsInForceBeforeAllOfItIsHere() {
+        view.changed(ConfigurationView.HEAD, ConfigurationView.head(2, "k", List.of(2L, 1L)));
+        view.changed(ConfigurationView.PAGE + 0, page(1, "{\"blue\":[1,7,0,0,0]}"));
+        view.changed(ConfigurationView.PAGE + 1, page(1, "{\"red\":[1,9,0,0,0]}"));
+        assertEquals(0, view.current().number());
+        view.changed(ConfigurationView.PAGE + 0, page(2, "{\"blue\":[1,8,0,0,0]}"));
+        assertEquals(2, view.current().number());
+        assertEquals(8, limit());
+    }
+
+    @Test
+    void whatCannotBeReadLeavesTheLastGoodOneInForce() {
+        view.changed(ConfigurationView.PAGE + 0, page(1, "{\"blue\":[1,7,0,0,0]}"));
+        view.changed(ConfigurationView.HEAD, ConfigurationView.head(1, "k", List.of(1L)));
+        Configuration good = view.current();
+        for (String rows : List.of("{\"blue\":[1,\"x\",0,0,0]}", "{\"blue\":[1]}", "[]", "{\"blue\":[-1,2,0,0,0]}")) {
+            view.changed(ConfigurationView.PAGE + 0, page(1, rows));
+            assertSame(good, view.current(), rows);
+        }
+        view.changed(ConfigurationView.HEAD, Json.object().put("number", "x"));
+        assertSame(good, view.current());
+    }
+}
--- a/experiment/src/main/java/org/landingridge/experiment/World.java
+++ b/experiment/src/main/java/org/landingridge/experiment/World.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import org.landingridge.controller.Controller;
 import org.landingridge.controller.config.Policy;
 import org.landingridge.controller.config.Settings;
@@ -437,6 +438,21 @@
         }
     }
 
+    /** An operator asks a controller for a change of the configuration. */
+    void configure(int node, ObjectNode change, Consumer<Http.Reply> answered) {
+        sim.client(users).call(nodeAddr(node), "POST", "/api/config", Json.bytes(change), 5_000, answered);
+    }
+
+    /** The configuration by which a controller acts, as it shows it. */
+    JsonNode configuration(Node node) {
+        return Json.parse(get(node, "/api/config").getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** The last changes of the configuration, the newest first. */
+    JsonNode configurationLog(Node node) {
+        return Json.parse(get(node, "/api/config/history").getBytes(StandardCharsets.UTF_8)).get("changes");
+    }
+
     void cancel(String id) {
         rules.cancelAsked.add(id);
         ask(id, "cancel", "POST", "/api/jobs/" + id + "/cancel", new byte[0], 60);
--- /dev/null
+++ b/experiment/src/test/java/org/landingridge/experiment/PageTableTest.java
@@ -0,0 +1,124 @@
+package org.landingridge.experiment;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.landingridge.controller.config.Settings;
+import org.landingridge.controller.obs.Metrics;
+import org.landingridge.controller.store.GroupWriter;
+import org.landingridge.controller.store.Mirror;
+import org.landingridge.controller.store.Page;
+import org.landingridge.controller.store.PageTable;
+import org.landingridge.controller.store.StateClient;
+import org.landingridge.emulator.Sim;
+import org.landingridge.emulator.StateService;
+import org.landingridge.wire.Json;
+
+/** Pages that were filled up to a larger limit, written under the smaller one: at every revision each row stands somewhere. */
+class PageTableTest {
+    private static final int ROW = 20;
+    private static final String LEADER = "lr/leader";
+
+    private final Sim sim = new Sim(1);
+    private final StateService state = new StateService(sim.host("state"));
+    private final Sim.Host host = sim.host("leader");
+    private final StateClient client;
+    private final Mirror mirror;
+
+    PageTableTest() {
+        sim.listen("state", sim.host("state"), state);
+        client = new StateClient(sim.client(host), "state");
+        mirror = new Mirror(client, host, "lr/", "lr", 20, new Metrics(host::nanos).busy, (key, value, version) -> { });
+    }
+
+    private static final class TextPage extends Page {
+        TextPage(String key) {
+            super(key);
+        }
+
+        @Override
+        public JsonNode render() {
+            ObjectNode n = Json.object();
+            names().forEach(name -> n.put(name, "0123456789"));
+            return names().isEmpty() ? null : n;
+        }
+    }
+
+    private Set<String> rows() {
+        Set<String> rows = new HashSet<>();
+        state.keys("lr/page/").forEach(key -> state.value(key).fieldNames().forEachRemaining(rows::add));
+        return rows;
+    }
+
+    private static ObjectNode filled(int rows) {
+        ObjectNode n = Json.object();
+        for (int i = 0; i < rows; i++) {
+            n.put("row-" + i, "0123456789");
+        }
+        return n;
+    }
+
+    /** With one write to a transaction, the successors come first, however the ranks order them. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 4})
+    void noRowIsEverNowhere(int writesToATransaction) {
+        int count = 90;
+        state.seed(LEADER, Json.object());
+        state.seed("lr/page/0", filled(count));
+        mirror.start();
+        sim.run(500);
+        GroupWriter writer = new GroupWriter(client, mirror, host, new Settings.State(100, 10, 1, writesToATransaction), 1.0, LEADER,
+                () -> mirror.version(LEADER), new Metrics(host::nanos).busy);
+        PageTable<TextPage> table = new PageTable<>("lr/page/", 800, TextPage::new, writer);
+        TextPage page = table.open("lr/page/0");
+        for (int i = 0; i < count; i++) {
+            table.put("row-" + i, ROW, page);
+        }
+        table.splitOversized();
+        assertFalse(page.ready(), "it waits for its successors");
+        for (int t = 0; t < 400; t++) {
+            sim.run(sim.now + 10);
+            assertEquals(count, rows().size(), "at " + sim.now);
+        }
+        assertTrue(page.ready());
+        for (String key : state.keys("lr/page/")) {
+            assertTrue(Json.bytes(state.value(key)).length <= 1_024, key);
+        }
+        assertEquals(3, state.keys("lr/page/").size());
+        assertEquals(0, state.tooLarge);
+    }
+
+    /** A service that takes less than it announced: no group is sent for ever, and a document that passes alone is stored. */
+    @Test
+    void refusedForSizeIsNotRepeatedForEver() {
+        state.seed(LEADER, Json.object());
+        state.txnOps = 2;
+        state.valueBytes = 600;
+        mirror.start();
+        sim.run(500);
+        GroupWriter writer = new GroupWriter(client, mirror, host, new Settings.State(100, 10, 1, 8), 1.0, LEADER,
+                () -> mirror.version(LEADER), new Metrics(host::nanos).busy);
+        PageTable<TextPage> table = new PageTable<>("lr/page/", 800, TextPage::new, writer);
+        for (int p = 0; p < 4; p++) {
+            TextPage page = table.open("lr/page/" + p);
+            int rows = p == 0 ? 38 : 5;
+            for (int i = 0; i < rows; i++) {
+                table.put("row-" + p + "-" + i, ROW, page);
+            }
+            writer.mark(page);
+        }
+        sim.run(20_000);
+        assertEquals(List.of("lr/page/1", "lr/page/2", "lr/page/3"), state.keys("lr/page/"));
+        assertTrue(state.tooLarge < 10, state.tooLarge + " were sent");
+        assertTrue(writer.idle());
+    }
+}
--- a/experiment/src/test/java/org/landingridge/experiment/PipelinesTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/PipelinesTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.landingridge.controller.config.Settings;
+import org.landingridge.controller.jobs.JobTable;
 import org.landingridge.controller.store.Keys;
 import org.landingridge.controller.upgrade.Capabilities;
 import org.landingridge.wire.JobSpec;
@@ -198,6 +199,28 @@
         Checks.kept(w);
     }
 
+    /**
+     * What a job awaits was cancelled and has moved into the history before the controllers began: whoever is asked says so from its
+     * first answer on, although no table keeps the awaited job.
+     */
+    @Test
+    void whatATableDoesNotKeepIsLookedUpBeforeAnAnswer() {
+        World w = new World(71, 0);
+        World.past(w.state, 500_000, 8);
+        JobSpec waiting = World.job(9, "blue", false, 1, 1, 1).awaiting(List.of(World.id(500_000)));
+        w.state.seed(Keys.JOBS + waiting.id(), JobTable.accepted(waiting, 0));
+        w.rules.specs.put(waiting.id(), waiting);
+        w.rules.cancelAsked.add(waiting.id());
+        for (long t = 200; t < 3_000; t += 20) {
+            int node = (int) (t / 20 % 3);
+            w.at(t, () -> w.askOnce(waiting.id(), "poll", node));
+            w.at(t, () -> assertTrue(!"accepted".equals(w.rules.told.get(waiting.id())), "called queued"));
+        }
+        w.sim.run(10_000);
+        assertEquals("cancelled", w.rules.told.get(waiting.id()));
+        Checks.kept(w);
+    }
+
     private static int post(World w, int number, String awaited) {
         JobSpec spec = World.job(number, "blue", false, 1, 1, 1);
         w.rules.specs.putIfAbsent(spec.id(), spec);
