A job inherits priority and due time from those that need it; expected starts of arrays are work in a hurry

Change: Inheritance reaches back from each waiting job to what it awaits: the highest priority, and the time by which it has to be over, less the forecast of the jobs between. A class whose starts are expected by the platform's objectives is due by then.

--- a/controller/src/main/java/org/landingridge/controller/reign/Expectations.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Expectations.java
@@ -117,16 +117,46 @@
 
     /** Notes what is expected of a group; the first sight of a job also tells how hurried jobs are. */
     void fill(Group group, Job job, long now, long timeOfDay) {
-        JobSpec spec = group.spec;
+        expect(group, job, now, timeOfDay);
+        Double within = within(job.spec());
+        if (within == null) {
+            return;
+        }
+        double hurry = within - group.runS < PATIENCE * bootS ? 1 : 0;
+        if (job.index() > lastSeen) {
+            lastSeen = job.index();
+            hurried = hurried < 0 ? hurry : hurried * (1 - NEWEST) + hurry * NEWEST;
+            hurriedClass.merge(job.spec().jobClass(), hurry, (old, newest) -> old * (1 - NEWEST) + newest * NEWEST);
+        }
+        group.patient = hurriedClass.getOrDefault(job.spec().jobClass(), hurry) <= 0.5;
+    }
+
+    /** Seconds within which the job should be over, from its submission or from when it could start; null: nobody said. */
+    private Double within(JobSpec spec) {
+        return spec.deadlineS() != null ? spec.deadlineS() : finishWithin.get(spec.jobClass());
+    }
+
+    /** Notes what is expected of a group, and learns nothing. */
+    void expect(Group group, Job job, long now, long timeOfDay) {
+        JobSpec spec = job.spec();
         group.startWithinS = startWithin.getOrDefault(spec.jobClass(), 0.0);
         group.runS = runS(spec);
-        Double within = spec.deadlineS() != null ? spec.deadlineS() : finishWithin.get(spec.jobClass());
+        group.lastS = START_S + RUN_MARGIN * group.runS
+                * (spec.tasks() > 1 ? longest.getOrDefault(spec.jobClass(), 1.0) : 1);
+        Double within = within(spec);
         long submitted = now + job.submittedAt() - timeOfDay;
         if (job.readySince() > 0 && spec.deadlineS() == null) {
             // Only the deadline counts from the submission: all else from when the job could start.
             submitted = job.readySince();
         }
         group.startBy = submitted;
+        if (within == null && group.startWithinS > 0 && !spec.service()) {
+            // Its start is expected: what it takes for that is not left to whatever cheap machines there are.
+            group.startBy = submitted + Math.round(group.startWithinS * 1000);
+            group.due = group.startBy + Math.round(group.lastS * 1000);
+            group.lastDue = now - submitted < STARVED * group.startWithinS * 1000 ? group.due : Long.MAX_VALUE;
+            return;
+        }
         if (within == null) {
             // Nobody has said by when: dear machines are not for it, unless the cheap ones do not come for long.
             group.unhurried = !spec.service();
@@ -134,20 +164,11 @@
             return;
         }
         group.due = submitted + Math.round(within * 1000);
-        group.lastS = START_S + RUN_MARGIN * group.runS
-                * (spec.tasks() > 1 ? longest.getOrDefault(spec.jobClass(), 1.0) : 1);
         group.startBy = group.due - Math.round(group.lastS * 1000);
         if (now - submitted < STARVED * within * 1000) {
             double times = spec.deadlineS() != null ? second : finishAtLast.get(spec.jobClass()) / within;
             group.lastDue = submitted + Math.round(within * times * 1000);
         }
-        double hurry = within - group.runS < PATIENCE * bootS ? 1 : 0;
-        if (job.index() > lastSeen) {
-            lastSeen = job.index();
-            hurried = hurried < 0 ? hurry : hurried * (1 - NEWEST) + hurry * NEWEST;
-            hurriedClass.merge(spec.jobClass(), hurry, (old, newest) -> old * (1 - NEWEST) + newest * NEWEST);
-        }
-        group.patient = hurriedClass.getOrDefault(spec.jobClass(), hurry) <= 0.5;
     }
 
     /**
--- a/controller/src/main/java/org/landingridge/controller/reign/Pass.java
+++ b/controller/src/main/java/org/landingridge/controller/reign/Pass.java
@@ -81,6 +81,7 @@
         if (mayHaveChanged(now)) {
             return;
         }
+        Inheritance inheritance = Inheritance.of(parts.table().active(), expectations, now, parts.loop().timeOfDay());
         Map<String, Group> groups = new LinkedHashMap<>();
         for (LiveJob job : fleet.jobs()) {
             int team = teamIndex.getOrDefault(job.spec().team(), -1);
@@ -91,11 +92,12 @@
             int placeable = fleet.placeable(job);
             boolean broken = job.health() == LiveJob.Health.BROKEN;
             int most = broken ? job.count(Task.State.ON_MACHINE) == 0 ? 1 : 0 : placeable;
-            Group group = new Group(job.spec(), job, job.job().created(), team,
+            Group group = new Group(inheritance.spec(job.spec()), job, job.job().created(), team,
                     job.notBefore() <= now ? Math.min(placeable, most) : 0);
             group.probing = broken;
             group.held = job.count(Task.State.PENDING) - placeable;
             expectations.fill(group, job.job(), now, parts.loop().timeOfDay());
+            inheritance.apply(group, job.id());
             groups.put(job.id(), group);
         }
         List<Node> nodes = nodes(now, teams, groups);
@@ -244,7 +246,9 @@
                     node.fetching++;
                 }
                 int team = a.spec() == null ? 0 : teamIndex.getOrDefault(a.spec().team(), 0);
-                Node.Running running = new Node.Running(a.spec(), team, a, a.since(), a.stopWanted());
+                Group of = groups.get(a.jobId());
+                JobSpec spec = of == null ? a.spec() : of.spec;
+                Node.Running running = new Node.Running(spec, team, a, a.since(), a.stopWanted());
                 running.ranS = a.runningSince() > 0 ? (now - a.runningSince()) / 1000.0 : 0;
                 running.leftS = a.spec() == null ? 0 : expectations.leftS(a.spec(), running.ranS);
                 node.add(running);
@@ -259,9 +263,8 @@
                     unknown = true;
                     teams.forEach(t -> t.hold(m.kind().cpus(), m.kind().gpus()));
                 }
-                Group g = groups.get(a.jobId());
-                if (g != null) {
-                    g.perZone.merge(m.zone(), 1, Integer::sum);
+                if (of != null) {
+                    of.perZone.merge(m.zone(), 1, Integer::sum);
                 }
             }
             node.idleMs = idle ? fleet.idleMs(m, now) : 0;
--- a/wire/src/main/java/org/landingridge/wire/JobSpec.java
+++ b/wire/src/main/java/org/landingridge/wire/JobSpec.java
@@ -42,6 +42,12 @@
                 oneZone, spread, spot, estimateS, checkpointS, saveS, deadlineS, List.copyOf(ids));
     }
 
+    /** The same job with another priority. */
+    public JobSpec withPriority(Priority other) {
+        return new JobSpec(id, jobClass, team, service, other, tasks, cpus, gpus, memoryGb, image, imageGb, types, zone,
+                oneZone, spread, spot, estimateS, checkpointS, saveS, deadlineS, awaits);
+    }
+
     /** The same job without its list of machine types, which is the one part of a description that has no bound. */
     public JobSpec withoutTypes() {
         return new JobSpec(id, jobClass, team, service, priority, tasks, cpus, gpus, memoryGb, image, imageGb, null, zone,
