--- a/controller/src/main/java/org/landingridge/controller/history/Segment.java
+++ b/controller/src/main/java/org/landingridge/controller/history/Segment.java
@@ -21,7 +21,8 @@
  *
  * <p>Stored as one record, in base64: a byte for the form, two bits a job (0 not here, 1 done, 2 cancelled), for each
  * done job its number of tasks in as many bytes of seven bits as it needs, and a CRC-32 of all that. 512 jobs of
- * 100,000 tasks each take 1,669 bytes, 2,228 characters: every deployment's {@code value_kb} holds that.
+ * 100,000 tasks each take 1,669 bytes, 2,228 characters. Where the state service's values hold less, a segment that would outgrow
+ * them takes no more jobs ({@link Compactor}).
  */
 public final class Segment {
     /** Ids to a segment. */
--- a/experiment/src/test/java/org/landingridge/experiment/RandomMeetingsTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/RandomMeetingsTest.java
@@ -25,6 +25,13 @@
         plays("further-meetings.toml", seed);
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    @DisplayName("pipelines after a rolling upgrade, limits that fall, outages and crashes")
+    void pipelinesAndAnUpgrade(long seed) throws BadSettings {
+        plays("pipelines.toml", seed);
+    }
+
     private static void plays(String file, long seed) throws BadSettings {
         Experiment plan = Experiment.read(Path.of("..", "deploy", "experiments", file));
         Play.Outcome o = Play.once(plan, seed, false);
