--- a/controller/src/main/java/org/landingridge/controller/configuration/ChangeRequest.java
+++ b/controller/src/main/java/org/landingridge/controller/configuration/ChangeRequest.java
@@ -1,6 +1,7 @@
 package org.landingridge.controller.configuration;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -89,7 +90,7 @@
         if (value == null) {
             return List.of();
         }
-        List<String> names = new java.util.ArrayList<>();
+        List<String> names = new ArrayList<>();
         for (JsonNode name : value) {
             if (!name.isTextual()) {
                 throw new BadMessage("field remove: expected a list of teams");
--- a/controller/src/main/java/org/landingridge/controller/configuration/ConfigurationView.java
+++ b/controller/src/main/java/org/landingridge/controller/configuration/ConfigurationView.java
@@ -90,11 +90,6 @@
         return fromFile.containsKey(team);
     }
 
-    /** What the platform's file says of a team, or null. */
-    ConfiguredTeam fileTeam(String team) {
-        return fromFile.get(team);
-    }
-
     /** Numbers of the changes in which each page was written last. */
     List<Long> pageNumbers() {
         List<Long> numbers = new ArrayList<>();
