--- a/review/standins/Web.java
+++ b/review/standins/Web.java
@@ -15,6 +15,8 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
@@ -38,6 +40,9 @@
             .executor(POOL)
             .build();
 
+    /** Ports that were handed out. */
+    private static final Set<Integer> PORTS = ConcurrentHashMap.newKeySet();
+
     /** What was asked. */
     record Call(String method, String path, String query, String body) {
         Map<String, String> parameters() {
@@ -71,6 +76,9 @@
     static int freePort() throws IOException {
         while (true) {
             int port = 12_000 + ThreadLocalRandom.current().nextInt(19_000);
+            if (!PORTS.add(port)) {
+                continue;
+            }
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
                 return socket.getLocalPort();
             } catch (BindException e) {
