Bound what a machine holds by what its report can list

Cause: the scheduler placed as many tasks on a machine as its CPUs had room for. The call to /commands (84,422 bytes) and each answer to a report (a line of 84,412 bytes) were beyond the protocol's 64 KiB, so the worker took neither and its lease expired. Behind that stood a third message: the worker's report, which lists all attempts on the machine.

Change: the room in a machine's heartbeats is a resource of the scheduler beside CPUs, GPUs and memory (scheduling.Room). An attempt takes the size of its largest possible entry until the machine has dropped it. For machines to be rented it counts for replicas only, since tasks that end go in turns. Ended attempts are taken for room that becomes free, so nothing is preempted for it. wire.Commands takes what one message can carry; the rest stays due, stops that were never sent first. The token is raised after 10 s if a machine with more than 200 attempts keeps ended ones. A request body that is refused for its size is logged. The emulators refuse and report messages beyond the limits, in every simulated run.

--- a/controller/src/main/java/org/landingridge/controller/cli/ClassDataTrainingCommand.java
+++ b/controller/src/main/java/org/landingridge/controller/cli/ClassDataTrainingCommand.java
@@ -15,6 +15,7 @@
 import org.landingridge.net.XnioEventLoop;
 import org.landingridge.wire.JobSpec;
 import org.landingridge.wire.Json;
+import org.landingridge.wire.MessageLimits;
 import org.landingridge.wire.Priority;
 import org.xnio.XnioWorker;
 import picocli.CommandLine.Command;
@@ -102,7 +103,7 @@
         XnioEventLoop loop = new XnioEventLoop(worker.getIoThread());
         TrainingCluster cluster = new TrainingCluster(loop, LOOPBACK + ':' + standIn);
         InetSocketAddress listen = InetSocketAddress.createUnresolved(LOOPBACK, standIn);
-        new HttpServer(worker, listen, JobSpec.MAX_BODY, cluster::answer).start();
+        new HttpServer(worker, listen, MessageLimits.MAX_MESSAGE_BYTES, cluster::answer).start();
         RunCommand.start(settings, Policy.DEFAULT);
         HttpClient client = new HttpClient(worker.getIoThread(), loop, CLIENT_CONNECTIONS);
         schedule(loop, client, LOOPBACK + ':' + serve, cluster);
--- a/controller/src/main/java/org/landingridge/controller/cli/RunCommand.java
+++ b/controller/src/main/java/org/landingridge/controller/cli/RunCommand.java
@@ -13,7 +13,7 @@
 import org.landingridge.net.HttpClient;
 import org.landingridge.net.HttpServer;
 import org.landingridge.net.XnioEventLoop;
-import org.landingridge.wire.JobSpec;
+import org.landingridge.wire.MessageLimits;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioWorker;
@@ -81,7 +81,8 @@
         Controller controller =
                 new Controller(loop, client, peers, new SplittableRandom(seed(settings)), settings, policy);
         started.set(controller);
-        HttpServer server = new HttpServer(worker, settings.listen(), JobSpec.MAX_BODY, controller::serve);
+        HttpServer server =
+                new HttpServer(worker, settings.listen(), MessageLimits.MAX_MESSAGE_BYTES, controller::serve);
         loop.after(
                 0,
                 () -> controller.start(() -> {
--- a/controller/src/main/java/org/landingridge/controller/fleet/Attempt.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Attempt.java
@@ -279,6 +279,11 @@
         return stopRequested && state != State.STARTING && (!inDirectCall || now - stopSentAt > DIRECT_STOP_RETRY_MS);
     }
 
+    /** Returns when the stop was last sent, far in the past if it never was. */
+    long stopSentAt() {
+        return stopSentAt;
+    }
+
     void stopSent(long now) {
         stopSentAt = now;
     }
--- a/controller/src/main/java/org/landingridge/controller/fleet/CommandComposer.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/CommandComposer.java
@@ -1,8 +1,14 @@
 package org.landingridge.controller.fleet;
 
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
 import org.landingridge.wire.Commands;
 
-/** Composes the commands for a machine: stops and deletions first, then starts. */
+/**
+ * Composes the commands for a machine: stops and deletions first, then starts. What does not fit into one message is still due
+ * when the next one is composed.
+ */
 final class CommandComposer {
     private final FleetContext context;
     private final ActiveJobs jobs;
@@ -12,6 +18,13 @@
         this.jobs = jobs;
     }
 
+    /**
+     * The commands of a direct call.
+     *
+     * @param starts the attempts whose starts are among the commands
+     */
+    record DirectCall(Commands commands, List<Attempt> starts) {}
+
     /** Returns the commands for the answer to the machine's heartbeat with this sequence number. */
     Commands composeAnswer(Machine machine, long seq) {
         Commands commands = new Commands();
@@ -20,17 +33,11 @@
             return commands;
         }
         long now = context.now();
-        for (Attempt attempt : machine.attempts().values()) {
-            if (attempt.state() == Attempt.State.EXITED) {
-                addForgetIfSafe(attempt, commands);
-            } else {
-                addStopIfDue(attempt, false, now, commands);
-            }
-        }
+        addStops(machine, false, now, commands);
+        addForgets(machine, commands);
         if (machine.isUp()) {
             for (Attempt attempt : machine.attempts().values()) {
-                if (attempt.startDueInAnswer(now)) {
-                    addStart(attempt, commands);
+                if (attempt.startDueInAnswer(now) && addStart(attempt, commands)) {
                     attempt.markStartInAnswer(seq);
                 }
             }
@@ -39,25 +46,20 @@
     }
 
     /** Returns the commands for a direct call to the machine. */
-    Commands composeDirectCall(Machine machine) {
-        Commands commands = new Commands();
+    DirectCall composeDirectCall(Machine machine) {
+        DirectCall call = new DirectCall(new Commands(), new ArrayList<>());
         if (!machine.fenced() || !machine.registered()) {
-            return commands;
-        }
-        long now = context.now();
-        for (Attempt attempt : machine.attempts().values()) {
-            if (attempt.state() != Attempt.State.EXITED) {
-                addStopIfDue(attempt, true, now, commands);
-            }
+            return call;
         }
+        addStops(machine, true, context.now(), call.commands);
         if (machine.isUp()) {
             for (Attempt attempt : machine.attempts().values()) {
-                if (attempt.startDueInCall()) {
-                    addStart(attempt, commands);
+                if (attempt.startDueInCall() && addStart(attempt, call.commands)) {
+                    call.starts.add(attempt);
                 }
             }
         }
-        return commands;
+        return call;
     }
 
     /**
@@ -75,23 +77,38 @@
         }
     }
 
-    private void addForgetIfSafe(Attempt attempt, Commands commands) {
-        Task task = attempt.task();
-        boolean resultUnstored = task != null && task.state() == Task.State.FINISHED && jobs.contains(attempt.jobId());
-        // If the machine forgot the attempt, a start that arrives late would run the task again.
-        if (!resultUnstored && !attempt.startMayArrive() && !attempt.duplicateCouldRun()) {
-            commands.forget(attempt.jobId(), attempt.taskIndex(), attempt.number());
+    /** Adds the stops that are due, repeated ones last: a full message must not hold up those that were never sent. */
+    static void addStops(Machine machine, boolean inDirectCall, long now, Commands commands) {
+        List<Attempt> due = new ArrayList<>();
+        for (Attempt attempt : machine.attempts().values()) {
+            if (attempt.isLive() && attempt.stopDue(inDirectCall, now)) {
+                due.add(attempt);
+            }
+        }
+        due.sort(Comparator.comparingLong(Attempt::stopSentAt));
+        for (Attempt attempt : due) {
+            if (commands.stop(attempt.jobId(), attempt.taskIndex(), attempt.number(), attempt.graceS())) {
+                attempt.stopSent(now);
+            }
         }
     }
 
-    private static void addStopIfDue(Attempt attempt, boolean inDirectCall, long now, Commands commands) {
-        if (attempt.stopDue(inDirectCall, now)) {
-            attempt.stopSent(now);
-            commands.stop(attempt.jobId(), attempt.taskIndex(), attempt.number(), attempt.graceS());
+    private void addForgets(Machine machine, Commands commands) {
+        for (Attempt attempt : machine.attempts().values()) {
+            if (attempt.state() == Attempt.State.EXITED && mayForget(attempt)) {
+                commands.forget(attempt.jobId(), attempt.taskIndex(), attempt.number());
+            }
         }
     }
 
-    private static void addStart(Attempt attempt, Commands commands) {
-        commands.start(attempt.jobId(), attempt.taskIndex(), attempt.number());
+    private boolean mayForget(Attempt attempt) {
+        Task task = attempt.task();
+        boolean resultUnstored = task != null && task.state() == Task.State.FINISHED && jobs.contains(attempt.jobId());
+        // If the machine forgot the attempt, a start that arrives late would run the task again.
+        return !resultUnstored && !attempt.startMayArrive() && !attempt.duplicateCouldRun();
+    }
+
+    private static boolean addStart(Attempt attempt, Commands commands) {
+        return commands.start(attempt.jobId(), attempt.taskIndex(), attempt.number());
     }
 }
--- a/controller/src/main/java/org/landingridge/controller/fleet/CommandDispatcher.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/CommandDispatcher.java
@@ -1,12 +1,10 @@
 package org.landingridge.controller.fleet;
 
-import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import org.landingridge.net.Http;
-import org.landingridge.wire.Commands;
 import org.landingridge.wire.Heartbeat;
 
 /** Sends commands to machines in direct calls, which is faster than to wait for their next heartbeat. */
@@ -73,9 +71,9 @@
             waitingMachines.add(machine);
             return;
         }
-        Commands commands = composer.composeDirectCall(machine);
-        if (!commands.isEmpty()) {
-            send(machine, commands, now);
+        CommandComposer.DirectCall directCall = composer.composeDirectCall(machine);
+        if (!directCall.commands().isEmpty()) {
+            send(machine, directCall, now);
         }
     }
 
@@ -89,20 +87,15 @@
                 && context.leadership().mayAct();
     }
 
-    private void send(Machine machine, Commands commands, long now) {
+    private void send(Machine machine, CommandComposer.DirectCall directCall, long now) {
         long token = context.leadership().token();
-        List<Attempt> starts = new ArrayList<>();
-        for (Attempt attempt : machine.attempts().values()) {
-            if (attempt.startDueInCall()) {
-                starts.add(attempt);
-                attempt.beginDirectStart(now, token);
-            }
-        }
+        List<Attempt> starts = directCall.starts();
+        starts.forEach(attempt -> attempt.beginDirectStart(now, token));
         machine.calls().begin();
         callsInFlight++;
         long session = machine.incarnation().session();
         long seq = machine.incarnation().seq();
-        byte[] body = commands.direct(token, session);
+        byte[] body = directCall.commands().direct(token, session);
         context.http().call(machine.address(), "POST", "/commands", body, CALL_TIMEOUT_MS, reply -> {
             machine.calls().end();
             callsInFlight--;
--- a/controller/src/main/java/org/landingridge/controller/fleet/TokenRaiser.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/TokenRaiser.java
@@ -13,6 +13,8 @@
     private static final long MAX_KEPT_MS = 60_000;
     /** Number of kept attempts on one machine above which the token is raised sooner. */
     private static final int MAX_KEPT_ATTEMPTS = 100;
+    /** Number of attempts on one machine above which none is kept for long: the room in its heartbeats becomes scarce. */
+    private static final int CROWDED_MACHINE_ATTEMPTS = 200;
     /** Minimum time that a withdrawn start is given to arrive. */
     private static final long WITHDRAWN_START_WAIT_MS = 3_000;
 
@@ -24,6 +26,8 @@
     private boolean restartsIndistinguishable;
     /** Largest number of ended attempts on one machine that are kept until the token is raised. */
     private int mostKeptAttempts;
+    /** Some machine with many attempts keeps ended ones. */
+    private boolean crowdedMachineKeepsAttempts;
 
     TokenRaiser(FleetContext context) {
         this.context = context;
@@ -39,12 +43,15 @@
         withdrawnStartsInFlight = false;
         restartsIndistinguishable = false;
         mostKeptAttempts = 0;
+        crowdedMachineKeepsAttempts = false;
     }
 
     /** Looks for starts and kept attempts on the machine that need a higher token. */
     void observe(Machine machine, long now) {
         withdrawnStartsInFlight |= machine.isUp() && withdrawnStartMayArrive(machine, now);
-        mostKeptAttempts = Math.max(mostKeptAttempts, keptAttempts(machine));
+        int keptAttempts = keptAttempts(machine);
+        mostKeptAttempts = Math.max(mostKeptAttempts, keptAttempts);
+        crowdedMachineKeepsAttempts |= keptAttempts > 0 && machine.attempts().size() > CROWDED_MACHINE_ATTEMPTS;
     }
 
     /** Observes a machine with a restarted worker, which may need a higher token. */
@@ -56,10 +63,11 @@
     /** Raises the token if the observations of the tick require it. */
     void raiseIfDue(long now) {
         long sinceRaiseMs = now - raisedAt;
-        boolean due =
-                ((withdrawnStartsInFlight || mostKeptAttempts > MAX_KEPT_ATTEMPTS) && sinceRaiseMs > MIN_INTERVAL_MS)
-                        || (mostKeptAttempts > 0 && sinceRaiseMs > MAX_KEPT_MS)
-                        || (restartsIndistinguishable && sinceRaiseMs > MIN_INTERVAL_RESTARTED_MS);
+        boolean raiseSoon =
+                withdrawnStartsInFlight || mostKeptAttempts > MAX_KEPT_ATTEMPTS || crowdedMachineKeepsAttempts;
+        boolean due = (raiseSoon && sinceRaiseMs > MIN_INTERVAL_MS)
+                || (mostKeptAttempts > 0 && sinceRaiseMs > MAX_KEPT_MS)
+                || (restartsIndistinguishable && sinceRaiseMs > MIN_INTERVAL_RESTARTED_MS);
         if (due) {
             raisedAt = now;
             context.leadership().raiseToken();
--- a/controller/src/main/java/org/landingridge/controller/leader/CandidateNodeBuilder.java
+++ b/controller/src/main/java/org/landingridge/controller/leader/CandidateNodeBuilder.java
@@ -85,6 +85,7 @@
         boolean hasUnknownJob = false;
         for (Attempt attempt : machine.attempts().values()) {
             if (!attempt.isLive()) {
+                node.addEndedAttempt(attempt.jobId());
                 continue;
             }
             isIdle = false;
--- a/controller/src/main/java/org/landingridge/controller/scheduling/CandidateNode.java
+++ b/controller/src/main/java/org/landingridge/controller/scheduling/CandidateNode.java
@@ -11,9 +11,6 @@
  * deducts the room that it assigns. CPU amounts are in processors, memory is in GB.
  */
 public final class CandidateNode {
-    /** Tolerance for floating-point rounding when a task is checked against free room. */
-    private static final double ROUNDING_TOLERANCE = 1e-6;
-
     /** A task that occupies room on the node. */
     public static final class RunningTask {
         /** Specification of the task's job; null if unknown. */
@@ -66,15 +63,14 @@
     /** True if the machine was recently drained so that it can be returned. */
     public boolean draining;
 
-    private double freeCpus;
-    private double freeGpus;
-    private double freeMemoryGb;
-    private int serviceReplicas;
-    /** Free CPUs after all stopping tasks have stopped; GPUs and memory follow. */
-    private double freeCpusAfterStops;
+    /** True if the machine's heartbeats still list attempts that have ended. */
+    private boolean listsEndedAttempts;
+
+    private final Room free;
+    /** Free room after all stopping tasks have stopped and all ended attempts have left the heartbeats. */
+    private final Room freeAfterStops;
 
-    private double freeGpusAfterStops;
-    private double freeMemoryGbAfterStops;
+    private int serviceReplicas;
 
     /** Creates a machine without tasks. */
     public CandidateNode(MachineType type, String zone, boolean spot, Object machine, boolean up, Set<String> images) {
@@ -84,19 +80,16 @@
         this.machine = machine;
         this.up = up;
         this.images = images;
-        this.freeCpus = type.cpus();
-        this.freeGpus = type.gpus();
-        this.freeMemoryGb = type.memoryGb();
-        this.freeCpusAfterStops = freeCpus;
-        this.freeGpusAfterStops = freeGpus;
-        this.freeMemoryGbAfterStops = freeMemoryGb;
+        this.free = Room.of(type);
+        this.freeAfterStops = Room.of(type);
     }
 
     /** Adds a task that occupies room on the machine; a task without a known specification takes all of it. */
     public void add(RunningTask task) {
         runningTasks.add(task);
         if (task.spec == null) {
-            takeAllRoom();
+            free.takeAll();
+            freeAfterStops.takeAll();
             return;
         }
         takeRoomNow(task.spec);
@@ -105,13 +98,10 @@
         }
     }
 
-    private void takeAllRoom() {
-        freeCpus = 0;
-        freeGpus = 0;
-        freeMemoryGb = 0;
-        freeCpusAfterStops = 0;
-        freeGpusAfterStops = 0;
-        freeMemoryGbAfterStops = 0;
+    /** Adds an attempt that has ended and is still listed in the machine's heartbeats. */
+    public void addEndedAttempt(String jobId) {
+        free.takeEnded(jobId);
+        listsEndedAttempts = true;
     }
 
     /** Deducts the room of a task that is placed now, from the current and the later free room. */
@@ -121,24 +111,18 @@
     }
 
     private void takeRoomNow(JobSpec spec) {
-        freeCpus -= spec.cpus();
-        freeGpus -= spec.gpus();
-        freeMemoryGb -= spec.memoryGb();
+        free.take(spec);
         serviceReplicas += spec.service() ? 1 : 0;
     }
 
     /** Deducts room that becomes free after stops, for a task that a later cycle will place. */
     void takeRoomAfterStops(JobSpec spec) {
-        freeCpusAfterStops -= spec.cpus();
-        freeGpusAfterStops -= spec.gpus();
-        freeMemoryGbAfterStops -= spec.memoryGb();
+        freeAfterStops.take(spec);
     }
 
     /** Adds the room of a task that is stopped in this cycle to the room that becomes free after stops. */
     void addRoomAfterStops(JobSpec spec) {
-        freeCpusAfterStops += spec.cpus();
-        freeGpusAfterStops += spec.gpus();
-        freeMemoryGbAfterStops += spec.memoryGb();
+        freeAfterStops.release(spec);
     }
 
     boolean allows(TaskGroup group) {
@@ -150,50 +134,58 @@
 
     /** Returns true if the node has any free room. */
     boolean hasRoom() {
-        return freeMemoryGb > ROUNDING_TOLERANCE && (freeCpus > ROUNDING_TOLERANCE || freeGpus > ROUNDING_TOLERANCE);
+        return free.isAny();
     }
 
     boolean fits(JobSpec spec) {
-        return fits(spec, freeCpus, freeGpus, freeMemoryGb);
+        return free.fits(spec);
+    }
+
+    /**
+     * Returns true if this machine, which is starting, counts as room for the task. Tasks that end can be listed in its
+     * heartbeats in turns; replicas of a service do not end.
+     */
+    boolean willFit(JobSpec spec) {
+        return spec.service() ? free.fits(spec) : free.fitsApartFromHeartbeat(spec);
     }
 
     boolean fitsAfterStops(JobSpec spec) {
-        return fits(spec, freeCpusAfterStops, freeGpusAfterStops, freeMemoryGbAfterStops);
+        return freeAfterStops.fits(spec);
     }
 
-    static boolean fits(JobSpec spec, double cpus, double gpus, double memoryGb) {
-        return spec.cpus() <= cpus + ROUNDING_TOLERANCE
-                && spec.gpus() <= gpus + ROUNDING_TOLERANCE
-                && spec.memoryGb() <= memoryGb + ROUNDING_TOLERANCE;
+    /** Returns the room that becomes free after stops, as a copy. */
+    Room roomAfterStops() {
+        return freeAfterStops.copy();
     }
 
-    /** Returns how many tasks of this size the node could take, including room from preemption; at most 1000. */
+    /** Returns true if ended attempts take much of the room in the machine's heartbeats; it becomes free without preemption. */
+    boolean heartbeatBecomesFree() {
+        return listsEndedAttempts && free.isHeartbeatHalfFull();
+    }
+
+    /** Returns how many tasks of this size the node could take, including room from preemption. */
     int taskCapacity(JobSpec spec) {
-        double availableCpus = freeCpusAfterStops;
-        double availableMemoryGb = freeMemoryGbAfterStops;
+        Room available = freeAfterStops.copy();
         for (RunningTask task : runningTasks) {
             if (task.spec != null && !task.stopping && task.spec.priority().compareTo(spec.priority()) < 0) {
-                availableCpus += task.spec.cpus();
-                availableMemoryGb += task.spec.memoryGb();
+                available.release(task.spec);
             }
         }
-        double maxByCpus = spec.cpus() > 0 ? (availableCpus + ROUNDING_TOLERANCE) / spec.cpus() : 1000;
-        double maxByMemory = spec.memoryGb() > 0 ? (availableMemoryGb + ROUNDING_TOLERANCE) / spec.memoryGb() : 1000;
-        return (int) Math.max(0, Math.min(maxByCpus, maxByMemory));
+        return available.capacity(spec);
     }
 
     /** Returns the share of the machine's CPUs that is free now. */
     double freeCpuShare() {
-        return freeCpus / type.cpus();
+        return free.cpus() / type.cpus();
     }
 
     double usedCpus() {
-        return type.cpus() - freeCpus;
+        return type.cpus() - free.cpus();
     }
 
     /** Returns true if the machine has no tasks and no room on it is taken. */
     boolean isUnused() {
-        return runningTasks.isEmpty() && freeCpus >= type.cpus() - 1e-9;
+        return runningTasks.isEmpty() && free.cpus() >= type.cpus() - 1e-9;
     }
 
     /** Returns the number of service replicas on the node. */
@@ -202,14 +194,6 @@
     }
 
     double freeCpusAfterStops() {
-        return freeCpusAfterStops;
-    }
-
-    double freeGpusAfterStops() {
-        return freeGpusAfterStops;
-    }
-
-    double freeMemoryGbAfterStops() {
-        return freeMemoryGbAfterStops;
+        return freeAfterStops.cpus();
     }
 }
--- a/controller/src/main/java/org/landingridge/controller/scheduling/Preemption.java
+++ b/controller/src/main/java/org/landingridge/controller/scheduling/Preemption.java
@@ -29,7 +29,7 @@
 
     private final Scheduler.Input input;
     private final SchedulingPlan plan;
-    /** Nodes on which tasks are stopping, so that room becomes free. */
+    /** Nodes on which room becomes free without preemption. */
     private final Set<CandidateNode> nodesBeingFreed = new LinkedHashSet<>();
     /** Nodes with at least one task that could be stopped. */
     private final List<CandidateNode> nodesWithStoppableTasks = new ArrayList<>();
@@ -47,17 +47,19 @@
     }
 
     private void indexNode(CandidateNode node) {
+        boolean isBeingFreed = node.heartbeatBecomesFree();
         boolean hasStoppableTask = false;
         for (CandidateNode.RunningTask task : node.runningTasks) {
             if (task.spec != null
                     && (lowestPriority == null || task.spec.priority().compareTo(lowestPriority) < 0)) {
                 lowestPriority = task.spec.priority();
             }
-            if (task.stopping) {
-                nodesBeingFreed.add(node);
-            }
+            isBeingFreed |= task.stopping;
             hasStoppableTask |= !task.stopping && task.spec != null;
         }
+        if (isBeingFreed) {
+            nodesBeingFreed.add(node);
+        }
         if (hasStoppableTask) {
             nodesWithStoppableTasks.add(node);
         }
@@ -204,12 +206,10 @@
             }
             stoppableTasks.sort(STOP_ORDER);
             List<CandidateNode.RunningTask> tasksToStop = new ArrayList<>();
-            double freeCpus = node.freeCpusAfterStops();
-            double freeGpus = node.freeGpusAfterStops();
-            double freeMemoryGb = node.freeMemoryGbAfterStops();
+            Room room = node.roomAfterStops();
             double cost = 0;
             for (CandidateNode.RunningTask task : stoppableTasks) {
-                if (CandidateNode.fits(group.spec, freeCpus, freeGpus, freeMemoryGb)) {
+                if (room.fits(group.spec)) {
                     break;
                 }
                 if (!mayStop(group, withinGuarantee, task)) {
@@ -218,13 +218,11 @@
                 }
                 tasksToStop.add(task);
                 input.teams().get(task.teamIndex).markStopping(task.spec);
-                freeCpus += task.spec.cpus();
-                freeGpus += task.spec.gpus();
-                freeMemoryGb += task.spec.memoryGb();
+                room.release(task.spec);
                 cost += task.spec.cpus() * (input.now() - task.startedAtMs + STOP_COST_MS);
             }
             tasksToStop.forEach(task -> input.teams().get(task.teamIndex).unmarkStopping(task.spec));
-            return CandidateNode.fits(group.spec, freeCpus, freeGpus, freeMemoryGb) && !tasksToStop.isEmpty()
+            return room.fits(group.spec) && !tasksToStop.isEmpty()
                     ? new Candidate(
                             cost + (BinPacking.startsInTime(group, node) ? 0 : LATE_START_COST),
                             index,
--- a/controller/src/main/java/org/landingridge/controller/scheduling/ScaleOut.java
+++ b/controller/src/main/java/org/landingridge/controller/scheduling/ScaleOut.java
@@ -163,7 +163,7 @@
     }
 
     private static boolean hasRoom(CandidateNode node, TaskGroup group) {
-        return node.fits(group.spec) && node.allows(group);
+        return node.willFit(group.spec) && node.allows(group);
     }
 
     private void rent(Pool pool) {
--- a/emulator/src/main/java/org/landingridge/emulator/EmulatedStateService.java
+++ b/emulator/src/main/java/org/landingridge/emulator/EmulatedStateService.java
@@ -227,7 +227,10 @@
         }
     }
 
-    private static Optional<StateRequest> read(Exchange exchange) {
+    private Optional<StateRequest> read(Exchange exchange) {
+        if (!usage.permitsSize(exchange.body())) {
+            return Optional.empty();
+        }
         JsonNode body = exchange.body().length == 0 ? Json.object() : Json.parse(exchange.body());
         return StateRequest.read(exchange.method(), exchange.path(), exchange.query(), body);
     }
--- a/emulator/src/main/java/org/landingridge/emulator/EmulatedWorker.java
+++ b/emulator/src/main/java/org/landingridge/emulator/EmulatedWorker.java
@@ -154,7 +154,7 @@
     /** The next heartbeat. */
     private byte[] heartbeat() {
         seq++;
-        return new Heartbeat(
+        byte[] body = new Heartbeat(
                         box.id,
                         config.addr,
                         config.type,
@@ -166,6 +166,10 @@
                         null,
                         tasks.entries())
                 .bytes();
+        if (MessageSize.isOversized(body)) {
+            truth.oversized("heartbeat of " + box.id, body.length);
+        }
+        return body;
     }
 
     private void report() {
@@ -186,7 +190,11 @@
         }
         reporting = false;
         checkLease();
-        if (reply.is(200) && loop.now() - sentAt <= ANSWER_MS) {
+        boolean oversized = MessageSize.hasOversizedLine(reply.body());
+        if (oversized) {
+            truth.oversized("answer to a heartbeat of " + box.id, MessageSize.longestLine(reply.body()));
+        }
+        if (reply.is(200) && !oversized && loop.now() - sentAt <= ANSWER_MS) {
             CommandBatch batch = batch(reply.body());
             if (session == sentIn && batch.token() >= token) {
                 showToken(batch.token());
@@ -251,6 +259,11 @@
             return;
         }
         checkLease();
+        if (MessageSize.isOversized(exchange.body())) {
+            truth.oversized("direct call to " + box.id, exchange.body().length);
+            exchange.answer(400, new byte[0]);
+            return;
+        }
         CommandBatch batch = batch(exchange.body());
         boolean valid = batch.token() >= token && batch.session() == session;
         showToken(batch.token());
--- a/emulator/src/main/java/org/landingridge/emulator/GroundTruth.java
+++ b/emulator/src/main/java/org/landingridge/emulator/GroundTruth.java
@@ -56,4 +56,12 @@
 
     /** A stand-in was used against its protocol. */
     void misused(String what);
+
+    /**
+     * A message was larger than the protocol permits, so it was not used.
+     *
+     * @param message what it was and where it was going
+     * @param bytes   its size, or that of its longest line
+     */
+    void oversized(String message, int bytes);
 }
--- a/emulator/src/main/java/org/landingridge/emulator/InvariantChecker.java
+++ b/emulator/src/main/java/org/landingridge/emulator/InvariantChecker.java
@@ -98,6 +98,11 @@
         broke("misused", what);
     }
 
+    @Override
+    public void oversized(String message, int bytes) {
+        broke("message_size", message + " has " + bytes + " bytes");
+    }
+
     @Override
     public void starts(String task, String machine, String type, String zone, boolean spot) {
         String id = task.substring(0, task.lastIndexOf('/'));
--- a/emulator/src/main/java/org/landingridge/emulator/StateUsage.java
+++ b/emulator/src/main/java/org/landingridge/emulator/StateUsage.java
@@ -54,6 +54,15 @@
         tooLarge++;
     }
 
+    /** Returns false, and counts a refusal, if the request's body is larger than the protocol permits. */
+    boolean permitsSize(byte[] body) {
+        if (MessageSize.isOversized(body)) {
+            refusedBySize();
+            return false;
+        }
+        return true;
+    }
+
     void resetPeaks() {
         mostRequests = 0;
         mostWrites = 0;
--- a/experiment/src/main/java/org/landingridge/experiment/ControllerNode.java
+++ b/experiment/src/main/java/org/landingridge/experiment/ControllerNode.java
@@ -13,6 +13,7 @@
 import org.landingridge.controller.peer.PeerMessage;
 import org.landingridge.controller.settings.Policy;
 import org.landingridge.controller.settings.Settings;
+import org.landingridge.emulator.MessageSize;
 import org.landingridge.emulator.Simulation;
 import org.landingridge.net.Http;
 
@@ -37,7 +38,9 @@
         this.index = index;
         this.host = sim.host(hostName(index));
         sim.listen(address(index), host, exchange -> {
-            if (!cluster.heartbeatFaults.intercept(this, exchange)) {
+            if (MessageSize.isOversized(exchange.body())) {
+                exchange.answer(400, new byte[0]);
+            } else if (!cluster.heartbeatFaults.intercept(this, exchange)) {
                 controller.serve(exchange);
             }
         });
@@ -106,6 +109,10 @@
         ControllerNode peer = cluster.nodes.get(cluster.indexOf(to));
         int process = peer.host.life;
         byte[] bytes = message.encode();
+        if (bytes.length > PeerMessage.MAX_BYTES) {
+            cluster.checker.oversized(message.type() + " from " + host.name + " to " + to, bytes.length);
+            return;
+        }
         if (sim.observer != null) {
             sim.observer.record(bytes);
         }
--- a/experiment/src/main/java/org/landingridge/experiment/SimulatedUsers.java
+++ b/experiment/src/main/java/org/landingridge/experiment/SimulatedUsers.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.landingridge.emulator.InvariantChecker;
+import org.landingridge.emulator.MessageSize;
 import org.landingridge.emulator.Simulation;
 import org.landingridge.net.Http;
 import org.landingridge.wire.JobSpec;
@@ -162,6 +163,9 @@
         sim.client(host).call(ControllerNode.address(node), method, path, body, 5_000, reply -> {
             boolean settled = false;
             if (reply.outcome() == Http.Outcome.ANSWERED) {
+                if (MessageSize.hasOversizedLine(reply.body())) {
+                    checker.oversized("answer to a user about " + id, MessageSize.longestLine(reply.body()));
+                }
                 JsonNode n = Json.parse(reply.body());
                 String state =
                         n == null || !n.has("status") ? "" : n.get("status").textValue();
--- a/experiment/src/main/java/org/landingridge/experiment/StoredGroundTruth.java
+++ b/experiment/src/main/java/org/landingridge/experiment/StoredGroundTruth.java
@@ -72,4 +72,9 @@
     public void misused(String what) {
         LOG.error("a protocol was broken: {}", what);
     }
+
+    @Override
+    public void oversized(String message, int bytes) {
+        LOG.error("message too large and not used, message={} bytes={}", message, bytes);
+    }
 }
--- a/net/src/main/java/org/landingridge/net/HttpServer.java
+++ b/net/src/main/java/org/landingridge/net/HttpServer.java
@@ -69,7 +69,7 @@
 
     private void handle(HttpServerExchange exchange) {
         if (exchange.getRequestContentLength() > maxBody) {
-            refuse(exchange);
+            refuseBody(exchange);
             return;
         }
         Receiver receiver = exchange.getRequestReceiver();
@@ -81,13 +81,17 @@
 
     private static void receiveFailed(HttpServerExchange exchange, IOException error) {
         if (error instanceof Receiver.RequestToLargeException) {
-            refuse(exchange);
+            refuseBody(exchange);
         } else {
             exchange.endExchange();
         }
     }
 
-    private static void refuse(HttpServerExchange exchange) {
+    private static void refuseBody(HttpServerExchange exchange) {
+        LOG.warn(
+                "request body too large and refused, path={} bytes={}",
+                exchange.getRequestPath(),
+                exchange.getRequestContentLength());
         exchange.setPersistent(false);
         send(exchange, 400, TOO_LARGE, 0);
     }
--- a/wire/src/main/java/org/landingridge/wire/Heartbeat.java
+++ b/wire/src/main/java/org/landingridge/wire/Heartbeat.java
@@ -32,6 +32,26 @@
         Double noticeS,
         List<Entry> tasks) {
 
+    /**
+     * Bytes of a heartbeat that the list of its attempts may take. The rest of the largest message is left to the other fields:
+     * names of machine, type and zone, the address, and numbers of up to 20 digits.
+     */
+    public static final int MAX_ENTRIES_BYTES = MessageLimits.MAX_MESSAGE_BYTES - 1024;
+
+    /**
+     * Size of the largest entry, without the job's identifier. Workers choose how they write JSON, so it has a space after each
+     * colon and comma, every number has all its digits, and every field its longest value.
+     */
+    private static final int MAX_ENTRY_BYTES_WITHOUT_JOB =
+            ("{\"take\": \"/99999\", \"try\": 18446744073709551615, \"status\": \"running\", \"cause\": \"unknown\", "
+                            + "\"saved\": false}, ")
+                    .length();
+
+    /** Returns the size that the entry of one attempt of this job has at most, in bytes, in whatever state the attempt is. */
+    public static int maxEntryBytes(String job) {
+        return MAX_ENTRY_BYTES_WITHOUT_JOB + job.length();
+    }
+
     /** States of a task on a machine. */
     public enum TaskStatus {
         /** Its image is fetched. */
--- a/wire/src/main/java/org/landingridge/wire/JobSpec.java
+++ b/wire/src/main/java/org/landingridge/wire/JobSpec.java
@@ -36,7 +36,6 @@
         Double deadlineS,
         List<String> awaits) {
 
-    public static final int MAX_BODY = 64 * 1024;
     public static final int MAX_TASKS = 100_000;
     /** Jobs that one job may await. */
     public static final int MAX_AWAITED = 64;
