Send the leader's running counts in parts that a record can carry

What users would have seen, with more than 16,000 running jobs of usual ids (3,700 of the longest): `queued` for running jobs at other controllers, workers redirected as in a cut between the controllers, no promises for a leader without the state service.

Cause: the leader sends the counts of all jobs in one record every second. A record may have 256 KiB; the receiver closes the connection at a longer one, and all that is queued behind it is lost. Found by looking for the cause of the oversized messages to machines on the other links.

A message of one part has the form that it had; the numbers of a part stand behind the fields that earlier versions read.

--- a/controller/src/main/java/org/landingridge/controller/Controller.java
+++ b/controller/src/main/java/org/landingridge/controller/Controller.java
@@ -212,7 +212,7 @@
         if (!leaderView.hasReachableLeaderOtherThan(message.sender())) {
             forwarder.recordLeaderMessage(message.sender());
             jobService.handleLeaderHeartbeat(message.writesStarved());
-            metrics.busy.during(Part.STATUS, () -> runningCounts.display(message.counts()));
+            metrics.busy.during(Part.STATUS, () -> runningCounts.receive(message));
         }
     }
 
--- a/controller/src/main/java/org/landingridge/controller/RunningCountsExchange.java
+++ b/controller/src/main/java/org/landingridge/controller/RunningCountsExchange.java
@@ -9,6 +9,7 @@
 import org.landingridge.controller.leader.LeaderTerm;
 import org.landingridge.controller.peer.PeerMessage;
 import org.landingridge.controller.peer.PeerTransport;
+import org.landingridge.controller.peer.RunningCountsParts;
 import org.landingridge.controller.store.BatchWriter;
 
 /**
@@ -23,6 +24,7 @@
     private final PeerTransport transport;
     private final String ownHost;
     private final List<String> otherHosts;
+    private final RunningCountsParts parts = new RunningCountsParts();
 
     /** @param currentTerm supplies the leader term of this controller; must not be null when {@link #announce} is called */
     RunningCountsExchange(
@@ -48,13 +50,19 @@
         display(counts);
         boolean writesStarved = writer.isStarved();
         jobService.handleLeaderHeartbeat(writesStarved);
+        List<PeerMessage.RunningCounts> messages = RunningCountsParts.split(ownHost, counts, writesStarved);
         for (String otherHost : otherHosts) {
-            transport.send(otherHost, new PeerMessage.RunningCounts(ownHost, counts, writesStarved));
+            messages.forEach(message -> transport.send(otherHost, message));
         }
     }
 
+    /** Displays the leader's counts, once their last part has arrived. */
+    void receive(PeerMessage.RunningCounts message) {
+        parts.add(message).ifPresent(this::display);
+    }
+
     /** Stores the counts in the job table for display; jobs without a count have no running tasks. */
-    void display(Map<String, Integer> counts) {
+    private void display(Map<String, Integer> counts) {
         for (Job job : jobTable.activeJobs()) {
             job.runningTasks(counts.getOrDefault(job.id(), 0));
         }
--- a/controller/src/main/java/org/landingridge/controller/peer/PeerMessage.java
+++ b/controller/src/main/java/org/landingridge/controller/peer/PeerMessage.java
@@ -76,12 +76,21 @@
     }
 
     /**
-     * The leader's message of every second, by which the receivers also know that it is reachable.
+     * The leader's message of every second, by which the receivers also know that it is reachable. Counts that do not fit into
+     * one message are sent in several parts, one after the other.
      *
      * @param counts        number of running tasks by job id, for display
      * @param writesStarved true if the state service limits the leader's writes and documents still wait to be written
+     * @param part          index of this part, from 0
+     * @param parts         number of parts
      */
-    record RunningCounts(String sender, Map<String, Integer> counts, boolean writesStarved) implements PeerMessage {
+    record RunningCounts(String sender, Map<String, Integer> counts, boolean writesStarved, int part, int parts)
+            implements PeerMessage {
+        /** Creates a message with all counts. */
+        public RunningCounts(String sender, Map<String, Integer> counts, boolean writesStarved) {
+            this(sender, counts, writesStarved, 0, 1);
+        }
+
         @Override
         public PeerRecordType type() {
             return PeerRecordType.RUNNING_COUNTS;
--- a/controller/src/main/java/org/landingridge/controller/peer/PeerMessageCodec.java
+++ b/controller/src/main/java/org/landingridge/controller/peer/PeerMessageCodec.java
@@ -85,6 +85,10 @@
             out.writeInt(count.getValue());
         }
         out.writeBoolean(running.writesStarved());
+        if (running.parts() > 1) {
+            out.writeInt(running.part());
+            out.writeInt(running.parts());
+        }
     }
 
     private static void write(DataOutputStream out, PeerMessage.ForwardedHeartbeat heartbeat) throws IOException {
@@ -154,14 +158,20 @@
         return new PeerMessage.CancellationReport(incarnation, from, to, complete, cancellations);
     }
 
-    /** In messages of versions before 0.3 the last field is missing. */
+    /** In messages of versions before 0.3 the flag is missing; the numbers of the part are missing in a message of one part. */
     private static PeerMessage readRunningCounts(String host, DataInputStream in) throws IOException {
         int size = in.readInt();
         Map<String, Integer> counts = new LinkedHashMap<>();
         for (int i = 0; i < size; i++) {
             counts.put(in.readUTF(), in.readInt());
         }
-        return new PeerMessage.RunningCounts(host, counts, in.available() > 0 && in.readBoolean());
+        boolean writesStarved = in.available() > 0 && in.readBoolean();
+        int part = in.available() > 0 ? in.readInt() : 0;
+        int parts = in.available() > 0 ? in.readInt() : 1;
+        if (part < 0 || part >= parts) {
+            throw new IOException("running counts: part " + part + " is not between 0 and " + (parts - 1));
+        }
+        return new PeerMessage.RunningCounts(host, counts, writesStarved, part, parts);
     }
 
     private static byte[] readBody(DataInputStream in) throws IOException {
