Read all keys again where a watch brings more than one answer may hold

What users would have seen: a controller that was cut off, or stood still, while more than 16 MB were written answers 503 until 10,000 more changes have been made.

Cause: a watch's answer has no size limit. The client dropped one of more than 16 MB as a call of unknown outcome, and the watch cache asked for the same changes again, every 400 ms. Found by looking for messages whose size others decide.

Change: the client reads 4 MB of an answer at most, and tells an answer that is too large from a lost one (Outcome.TOO_LARGE). For a watch that is the same as a revision that is too old: all keys are read again, in pages that the state service limits.

--- a/controller/src/main/java/org/landingridge/controller/fleet/CommandDispatcher.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/CommandDispatcher.java
@@ -103,7 +103,7 @@
             if (!closed) {
                 context.loop().after(0, this::flush);
                 handleReply(machine, reply, session, seq);
-                if (reply.outcome() == Http.Outcome.UNKNOWN) {
+                if (reply.outcome() == Http.Outcome.UNKNOWN || reply.outcome() == Http.Outcome.TOO_LARGE) {
                     starts.forEach(attempt -> attempt.markDirectStartUnanswered(token));
                 }
             }
@@ -119,7 +119,8 @@
                 }
                 context.loop().after(FOLLOW_UP_CALL_DELAY_MS, () -> call(machine));
             }
-            case NOT_SENT, UNKNOWN -> machine.calls().recordUnansweredCommands(context.now() + PAUSE_AFTER_NO_REPLY_MS);
+            case NOT_SENT, UNKNOWN, TOO_LARGE ->
+                machine.calls().recordUnansweredCommands(context.now() + PAUSE_AFTER_NO_REPLY_MS);
         }
     }
 }
--- a/controller/src/main/java/org/landingridge/controller/store/StateClient.java
+++ b/controller/src/main/java/org/landingridge/controller/store/StateClient.java
@@ -113,7 +113,10 @@
         call(new StateRequest.ListKeys(prefix, afterKey, limit), CALL_TIMEOUT_MS, callback);
     }
 
-    /** Waits up to {@code waitMs} for changes later than the revision {@code after}: {@link Answer#changes}. */
+    /**
+     * Waits up to {@code waitMs} for changes later than the revision {@code after}: {@link Answer#changes}. The status is
+     * TOO_OLD if the changes since then are not available any more or are too many for one answer.
+     */
     public void watch(String prefix, long afterRevision, long waitMs, Consumer<Answer> callback) {
         call(new StateRequest.Watch(prefix, afterRevision, waitMs), waitMs + CALL_TIMEOUT_MS, callback);
     }
@@ -161,8 +164,18 @@
     }
 
     private static Answer toAnswer(Http.Reply reply) {
-        if (reply.outcome() != Http.Outcome.ANSWERED) {
-            return new Answer(reply.outcome() == Http.Outcome.NOT_SENT ? Status.REFUSED : Status.UNKNOWN, null);
+        switch (reply.outcome()) {
+            case NOT_SENT -> {
+                return new Answer(Status.REFUSED, null);
+            }
+            case UNKNOWN -> {
+                return new Answer(Status.UNKNOWN, null);
+            }
+            // Only a watch has no size limit.
+            case TOO_LARGE -> {
+                return new Answer(Status.TOO_OLD, null);
+            }
+            case ANSWERED -> {}
         }
         JsonNode body = Json.parse(reply.body());
         return switch (reply.status()) {
--- a/emulator/src/main/java/org/landingridge/emulator/Simulation.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Simulation.java
@@ -255,7 +255,10 @@
                                 // life, as a second controller on the same host.
                                 deliver(to, from, () -> {
                                     if (from.life == fromLife) {
-                                        once.accept(new Http.Reply(Http.Outcome.ANSWERED, status, json));
+                                        once.accept(
+                                                json.length > Http.MAX_ANSWER_BYTES
+                                                        ? Http.Reply.TOO_LARGE
+                                                        : new Http.Reply(Http.Outcome.ANSWERED, status, json));
                                     }
                                 });
                             }
--- a/net/src/main/java/org/landingridge/net/Http.java
+++ b/net/src/main/java/org/landingridge/net/Http.java
@@ -11,9 +11,14 @@
         /** It was certainly not carried out. */
         NOT_SENT,
         /** It may have been carried out. */
-        UNKNOWN
+        UNKNOWN,
+        /** The other side answered with more than {@link #MAX_ANSWER_BYTES}; of the answer nothing is known. */
+        TOO_LARGE
     }
 
+    /** Largest answer to a call that is read, in bytes: the process has little memory. */
+    int MAX_ANSWER_BYTES = 4 << 20;
+
     /**
      * What a call came back with.
      *
@@ -26,6 +31,8 @@
         public static final Reply NOT_SENT = new Reply(Outcome.NOT_SENT, 0, new byte[0]);
         /** The reply to a call that may have been carried out. */
         public static final Reply UNKNOWN = new Reply(Outcome.UNKNOWN, 0, new byte[0]);
+        /** The reply to a call whose answer is not read, because it is too large. */
+        public static final Reply TOO_LARGE = new Reply(Outcome.TOO_LARGE, 0, new byte[0]);
 
         /** True for an answer with this status. */
         public boolean is(int wanted) {
--- a/net/src/main/java/org/landingridge/net/HttpClient.java
+++ b/net/src/main/java/org/landingridge/net/HttpClient.java
@@ -21,7 +21,6 @@
 /** Undertow's client on the event loop's I/O thread: kept connections, deadlines, a cap on sockets a destination. */
 public final class HttpClient implements Http {
     private static final Logger LOG = LoggerFactory.getLogger(HttpClient.class);
-    private static final int MAX_ANSWER_BYTES = 16 << 20;
     private static final int BUFFER_BYTES = 4096;
     private static final byte[] NO_BODY = new byte[0];
 
@@ -172,6 +171,9 @@
                     if (readAll(readable, buffer, answer)) {
                         answered(new Reply(Outcome.ANSWERED, status, answer.toByteArray()), close);
                     }
+                } catch (AnswerTooLargeException e) {
+                    LOG.warn("answer too large and dropped, call={} {}{}", method, addr, path);
+                    finish(Reply.TOO_LARGE);
                 } catch (IOException e) {
                     lost(e);
                 }
@@ -194,10 +196,10 @@
                     channel.suspendReads();
                     return true;
                 }
-                answer.write(buffer.array(), buffer.arrayOffset(), bytes);
-                if (answer.size() > MAX_ANSWER_BYTES) {
-                    throw new IOException("answer too large");
+                if (answer.size() + bytes > MAX_ANSWER_BYTES) {
+                    throw new AnswerTooLargeException();
                 }
+                answer.write(buffer.array(), buffer.arrayOffset(), bytes);
             }
         }
 
@@ -247,4 +249,9 @@
             }
         }
     }
+
+    /** An answer is larger than {@link Http#MAX_ANSWER_BYTES}. */
+    private static final class AnswerTooLargeException extends IOException {
+        private static final long serialVersionUID = 1;
+    }
 }
