Keep the leader's transactions within the largest message

What users would have seen where values of more than 58 KiB are allowed: once a document of such a size waits, nothing of the leader is stored any more, no completion and no machine.

Cause: a batch ended at a document that did not fit before it was checked whether the document can be written at all; one above 60,000 bytes never fitted, so each batch was empty. The setting allows values that no transaction can carry with their key. The size of a write was assumed, whatever its key. Moves of more than 50 operations and changes of many teams could pass 64 KiB too; the state service refused them. Found by looking for the cause of the oversized messages to machines on the link to the state service.

Change: the largest value is the setting or 62 KiB, whichever is less; too large a value is skipped first; keys count with their length; a move takes what fits into the largest message; a change of the configuration that does not fit is answered 400.

--- a/controller/src/main/java/org/landingridge/controller/history/MoveBatch.java
+++ b/controller/src/main/java/org/landingridge/controller/history/MoveBatch.java
@@ -10,6 +10,7 @@
 import org.landingridge.controller.store.Keys;
 import org.landingridge.controller.store.StateClient.Guard;
 import org.landingridge.controller.store.StateClient.Write;
+import org.landingridge.wire.MessageLimits;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -28,13 +29,19 @@
             List<Guard> guards, List<Write> writes, List<MoveCandidate> moved, List<MoveCandidate> conflicting) {}
 
     private static final Logger LOG = LoggerFactory.getLogger(MoveBatch.class);
+    /** Most bytes that the keys, guards and field names of a moved job and its segment take in a transaction. */
+    private static final int MAX_KEY_BYTES_PER_JOB = 500;
+    /** Operations that fit into the largest message, even if each job has a segment of its own: a delete and a put each. */
+    private static final int MAX_OPERATIONS =
+            2 * (MessageLimits.MAX_MESSAGE_BYTES / (Segment.MAX_BYTES + MAX_KEY_BYTES_PER_JOB));
+
     private final Map<String, List<MoveCandidate>> candidatesBySegment = new LinkedHashMap<>();
     private final Map<String, History.LookupResult> contentsBySegment = new HashMap<>();
     private int remainingOperations;
 
-    /** @param maxOperations maximum number of puts and deletes in a transaction */
+    /** @param maxOperations maximum number of puts and deletes in a transaction of the state service */
     MoveBatch(int maxOperations) {
-        remainingOperations = maxOperations;
+        remainingOperations = Math.min(maxOperations, MAX_OPERATIONS);
     }
 
     boolean isEmpty() {
--- a/controller/src/main/java/org/landingridge/controller/liveconfig/ConfigurationService.java
+++ b/controller/src/main/java/org/landingridge/controller/liveconfig/ConfigurationService.java
@@ -20,6 +20,7 @@
 import org.landingridge.net.Http.Exchange;
 import org.landingridge.wire.InvalidMessageException;
 import org.landingridge.wire.Json;
+import org.landingridge.wire.MessageLimits;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -186,9 +187,9 @@
                 new Write(ConfigurationView.LOG_ROOT + number % ConfigurationView.MAX_LOG_ENTRIES, logEntry.json(), 0));
         writes.add(
                 new Write(ConfigurationView.HEAD, ConfigurationView.encodeHead(number, request.key(), pageNumbers), 0));
-        checkLimits(writes);
         List<Guard> guards = new ArrayList<>();
         writes.forEach(write -> guards.add(new Guard(write.key(), watchCache.version(write.key()))));
+        checkLimits(guards, writes);
         return new Transaction(number, guards, writes);
     }
 
@@ -217,7 +218,7 @@
         return Json.object().put("number", number).set("teams", ConfigurationRecord.encodeTeams(teams));
     }
 
-    private void checkLimits(List<Write> writes) throws InvalidMessageException {
+    private void checkLimits(List<Guard> guards, List<Write> writes) throws InvalidMessageException {
         if (writes.size() > stateLimits.txnOps()) {
             throw new InvalidMessageException(
                     "the change writes " + (writes.size() - FIXED_WRITES) + " pages of teams, expected at most "
@@ -229,6 +230,11 @@
                         + stateLimits.valueBytes() + " bytes: change fewer teams at once");
             }
         }
+        int transactionBytes = StateClient.transactionBytes(guards, writes);
+        if (transactionBytes > MessageLimits.MAX_MESSAGE_BYTES) {
+            throw new InvalidMessageException("the change takes " + transactionBytes + " bytes, expected at most "
+                    + MessageLimits.MAX_MESSAGE_BYTES + ": change fewer teams at once");
+        }
     }
 
     /** Returns notes on effects that the operator may not have intended. They don't prevent the change. */
--- a/controller/src/main/java/org/landingridge/controller/settings/Settings.java
+++ b/controller/src/main/java/org/landingridge/controller/settings/Settings.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import org.landingridge.wire.MessageLimits;
 
 /**
  * The file that the platform hands over. Unknown fields are ignored, known ones are checked.
@@ -88,6 +89,9 @@
      * @param txnOps   puts and deletes to a transaction
      */
     public record State(double rps, double writeRps, double valueKb, int txnOps) {
+        /** Largest value of a transaction: the rest of its body is left to keys and guards. */
+        private static final int MAX_WRITTEN_BYTES = MessageLimits.MAX_MESSAGE_BYTES - 2 * 1024;
+
         /** The stricter of each: limits that are announced apply from the start, since they come without notice. */
         State stricter(State next) {
             return new State(
@@ -97,9 +101,9 @@
                     Math.min(txnOps, next.txnOps));
         }
 
-        /** Bytes to a value. */
+        /** Bytes to a value; no more than a transaction that writes it can carry. */
         public int valueBytes() {
-            return (int) (valueKb * 1024);
+            return (int) Math.min(valueKb * 1024, MAX_WRITTEN_BYTES);
         }
     }
 
--- a/controller/src/main/java/org/landingridge/controller/store/BatchWriter.java
+++ b/controller/src/main/java/org/landingridge/controller/store/BatchWriter.java
@@ -14,6 +14,7 @@
 import org.landingridge.controller.store.StateClient.Write;
 import org.landingridge.net.EventLoop;
 import org.landingridge.wire.Json;
+import org.landingridge.wire.MessageLimits;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -36,10 +37,10 @@
     private static final long MIN_PAUSE_MS = 20;
     private static final long PAUSE_AFTER_REREAD_MS = 50;
     private static final long RETRY_REREAD_MS = 300;
-    /** Size limit of a batch, in bytes. The state service accepts 64 KiB per transaction, including keys and guards. */
-    private static final int MAX_BATCH_BYTES = 60_000;
-    /** Assumed size of a write without its value, in bytes. */
-    private static final int WRITE_OVERHEAD_BYTES = 100;
+    /** Size of a transaction without its writes and guards, but with the guard on the leader key, in bytes. */
+    private static final int EMPTY_BATCH_BYTES = 300;
+    /** Size of a write and its guard without the value and without the key in each, in bytes. */
+    private static final int WRITE_OVERHEAD_BYTES = 80;
 
     private final StateClient client;
     private final WatchCache watchCache;
@@ -63,17 +64,18 @@
         private final List<Guard> guards = new ArrayList<>();
         private final List<Write> writes = new ArrayList<>();
         private final List<Document> documents = new ArrayList<>();
-        private int totalBytes;
+        private int totalBytes = EMPTY_BATCH_BYTES;
 
         Batch(Guard leaderGuard) {
             guards.add(leaderGuard);
         }
 
         boolean hasRoom(int additionalBytes) {
-            return totalBytes + additionalBytes <= MAX_BATCH_BYTES;
+            return totalBytes + additionalBytes <= MessageLimits.MAX_MESSAGE_BYTES;
         }
 
-        void add(Document document, JsonNode value, long version) {
+        void add(Document document, JsonNode value, long version, int writeBytes) {
+            totalBytes += writeBytes;
             guards.add(new Guard(document.key(), version));
             writes.add(new Write(document.key(), value, 0));
             documents.add(document);
@@ -174,30 +176,31 @@
         Batch batch = new Batch(leaderGuard);
         for (Document document : candidates) {
             JsonNode value = document.render();
-            int valueSize = value == null ? 0 : Json.bytes(value).length;
-            if (!batch.hasRoom(valueSize + WRITE_OVERHEAD_BYTES)) {
-                break;
-            }
-            pending.remove(document);
-            if (valueSize > maxValueBytes) {
+            int valueBytes = value == null ? 0 : Json.bytes(value).length;
+            if (valueBytes > maxValueBytes) {
                 // The service would reject every batch that contains this document.
-                LOG.error("value too large, key={} bytes={} limit={}", document.key(), valueSize, maxValueBytes);
+                LOG.error("value too large, key={} bytes={} limit={}", document.key(), valueBytes, maxValueBytes);
+                pending.remove(document);
                 document.refused();
                 continue;
             }
-            batch.totalBytes += valueSize + WRITE_OVERHEAD_BYTES;
-            addWrite(batch, document, value);
+            int writeBytes = valueBytes + 2 * document.key().length() + WRITE_OVERHEAD_BYTES;
+            if (!batch.hasRoom(writeBytes)) {
+                break;
+            }
+            pending.remove(document);
+            addWrite(batch, document, value, writeBytes);
         }
         return batch;
     }
 
-    private void addWrite(Batch batch, Document document, JsonNode value) {
+    private void addWrite(Batch batch, Document document, JsonNode value, int writeBytes) {
         long version = watchCache.version(document.key());
         if (value == null && version == 0) {
             // The key does not exist, so there is nothing to delete.
             loop.after(0, () -> document.stored(watchCache.revision()));
         } else {
-            batch.add(document, value, version);
+            batch.add(document, value, version, writeBytes);
         }
     }
 
--- a/controller/src/main/java/org/landingridge/controller/store/StateClient.java
+++ b/controller/src/main/java/org/landingridge/controller/store/StateClient.java
@@ -126,6 +126,11 @@
         call(new StateRequest.Commit(transaction(guards, writes)), CALL_TIMEOUT_MS, callback);
     }
 
+    /** Returns the size of the body of a request with this transaction, in bytes; the state service limits it. */
+    public static int transactionBytes(List<Guard> guards, List<Write> writes) {
+        return Json.bytes(transaction(guards, writes).toJson()).length;
+    }
+
     private static StateTransaction transaction(List<Guard> guards, List<Write> writes) {
         List<StateTransaction.Guard> wireGuards = new ArrayList<>(guards.size());
         for (Guard guard : guards) {
--- a/experiment/src/test/java/org/landingridge/experiment/StateMessageSizeTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/StateMessageSizeTest.java
@@ -1,15 +1,20 @@
 package org.landingridge.experiment;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 import org.landingridge.controller.observability.Metrics;
 import org.landingridge.controller.settings.Settings;
+import org.landingridge.controller.store.BatchWriter;
+import org.landingridge.controller.store.Document;
 import org.landingridge.controller.store.StateClient;
 import org.landingridge.controller.store.StateClient.Write;
+import org.landingridge.controller.store.StoreAccess;
 import org.landingridge.controller.store.WatchCache;
 import org.landingridge.emulator.EmulatedStateService;
 import org.landingridge.emulator.Simulation;
@@ -17,8 +22,8 @@
 import org.landingridge.wire.MessageLimits;
 
 /**
- * Large messages to and from the state service. Guards against a controller that never reads the state again
- * after much was written in its absence.
+ * Large messages to and from the state service. Guards against a document close to the largest message that blocks all other
+ * writes of the leader, and against a controller that never reads the state again after much was written in its absence.
  */
 class StateMessageSizeTest {
     private static final String LEADER_KEY = "lr/leader";
@@ -30,6 +35,7 @@
     private final Simulation.Host leaderHost = simulation.host("leader");
     private final StateClient client;
     private final WatchCache watchCache;
+    private final List<String> refusedKeys = new ArrayList<>();
 
     StateMessageSizeTest() {
         simulation.listen("state", stateHost, stateService);
@@ -47,6 +53,70 @@
         return Json.object().put("text", "x".repeat(bytes - fieldBytes));
     }
 
+    private final class LargeDocument implements Document {
+        private final String key;
+        private final int bytes;
+
+        LargeDocument(String key, int bytes) {
+            this.key = key;
+            this.bytes = bytes;
+        }
+
+        @Override
+        public String key() {
+            return key;
+        }
+
+        @Override
+        public JsonNode render() {
+            return valueOfBytes(bytes);
+        }
+
+        @Override
+        public void stored(long revision) {}
+
+        @Override
+        public void refused() {
+            refusedKeys.add(key);
+        }
+
+        @Override
+        public int rank() {
+            return 1;
+        }
+    }
+
+    @Test
+    @DisplayName("documents up to the largest message are stored, a larger one holds up no other")
+    void documentsOfEverySizeAreStoredOrSkipped() {
+        BatchWriter writer = new BatchWriter(
+                new StoreAccess(client, watchCache, leaderHost),
+                LARGEST_LIMITS,
+                1.0,
+                LEADER_KEY,
+                () -> watchCache.version(LEADER_KEY),
+                new Metrics(leaderHost::nanos).busy);
+        String longKey = "lr/" + "k".repeat(190);
+        List<Document> documents = List.of(
+                new LargeDocument("lr/too-large", 70_000),
+                new LargeDocument("lr/large", 61_000),
+                new LargeDocument(longKey, LARGEST_LIMITS.valueBytes()));
+        documents.forEach(writer::mark);
+        List<String> expectedKeys = new ArrayList<>(List.of(longKey, "lr/large", LEADER_KEY));
+        for (int i = 0; i < 200; i++) {
+            // Keys of 100 bytes and values of 1 kB: batches are limited by bytes, of which the keys are a part.
+            String key = String.format("lr/small-%091d", i);
+            writer.mark(new LargeDocument(key, 1_000));
+            expectedKeys.add(key);
+        }
+        simulation.run(30_000);
+        expectedKeys.sort(null);
+        assertEquals(expectedKeys, stateService.keys("lr/"));
+        assertEquals(List.of("lr/too-large"), refusedKeys);
+        assertEquals(0, stateService.tooLarge());
+        assertTrue(writer.isIdle());
+    }
+
     @Test
     @DisplayName("a controller that was cut off while more was written than one answer can bring reads all keys again")
     void stateIsReadAgainWhenAWatchBringsMoreThanOneAnswerMayHold() {
