Answer 404 for ids of other forms beside the history

Cause, by the trace of the key that is read: ended jobs stand in segments of 512 ids under lr-past/NUMBER; an id of another form has a segment of its own under lr-past/ID, so ids of digits alone share an address with a segment. The ids in paths were not checked.

Change: JobLookup answers that there is no job for an id that no job can have, before it looks anywhere: for polls, cancellations, repeated submissions and awaited jobs.

--- a/controller/src/main/java/org/landingridge/controller/api/JobLookup.java
+++ b/controller/src/main/java/org/landingridge/controller/api/JobLookup.java
@@ -16,6 +16,7 @@
 import org.landingridge.controller.store.StateClient.Answer;
 import org.landingridge.controller.store.StateClient.Status;
 import org.landingridge.controller.store.WatchCache;
+import org.landingridge.wire.JobSpec;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -57,8 +58,12 @@
         this.history = history;
     }
 
-    /** Finds the job and passes the result to the callback. */
+    /** Finds the job and passes the result to the callback. No job was ever accepted under an id that is not valid. */
     public void find(String id, Callback callback) {
+        if (!JobSpec.validId(id)) {
+            callback.absent();
+            return;
+        }
         TerminatedJob terminatedJob = knownTermination(id);
         if (terminatedJob != null) {
             callback.terminated(terminatedJob);
--- a/controller/src/test/java/org/landingridge/controller/history/SegmentTest.java
+++ b/controller/src/test/java/org/landingridge/controller/history/SegmentTest.java
@@ -10,8 +10,10 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -95,6 +97,23 @@
         return Json.object().put("ended", Base64.getEncoder().encodeToString(bytes));
     }
 
+    /** Guards against an id that nobody submitted being answered with another job's state from the history. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    @DisplayName("no two ids of any form share an address")
+    void noTwoIdsOfAnyFormShareAnAddress(long seed) {
+        Random random = new Random(seed);
+        String[] prefixes = {"", "job-", "other-", "other-job-", "job-other-", "JOB-", "id", "lr-past/", "/", " "};
+        Map<SegmentAddress, String> idsByAddress = new HashMap<>();
+        for (int i = 0; i < 200_000; i++) {
+            String prefix = prefixes[random.nextInt(prefixes.length)];
+            String digits = Long.toString(random.nextLong(1L << (1 + random.nextInt(25))));
+            String id = prefix + "0".repeat(random.nextInt(3)) + (random.nextInt(4) == 0 ? digits + "x" : digits);
+            String otherId = idsByAddress.put(SegmentAddress.of(id), id);
+            assertTrue(otherId == null || otherId.equals(id), id + " and " + otherId + " share an address");
+        }
+    }
+
     /** Ids that look alike are different jobs, so each needs an address of its own. */
     @Test
     void differentIdsHaveDifferentAddresses() {
--- a/experiment/src/test/java/org/landingridge/experiment/JobHistoryTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/JobHistoryTest.java
@@ -92,6 +92,27 @@
         assertTrue(cluster.state.mostWrites() <= 20, cluster.state.mostWrites() + " writes in one second");
     }
 
+    /** Guards against the state of a job in the history being answered for an id that nobody submitted. */
+    @ParameterizedTest
+    @ValueSource(strings = {"196", "00196", "196/0", "job-", "JOB-100352", "other-196", "x y"})
+    void idsOfOtherFormsAreUnknownBesideHistory(String id) {
+        SimulatedCluster cluster = new SimulatedCluster(4, 10);
+        HistorySeeds.jobKeys(cluster, 100_000, JOB_COUNT, 1);
+        cluster.sim.run(300_000);
+        assertEquals(new SegmentAddress(SegmentAddress.ROOT + "196", 0), SegmentAddress.of("job-100352"));
+        assertTrue(isInHistory(cluster, "job-100352"));
+        int requestsBefore = cluster.state.requests();
+        for (ControllerNode node : cluster.nodes) {
+            for (String request : List.of("poll", "cancel")) {
+                cluster.users.askOnce(id, request, node.index);
+            }
+        }
+        cluster.sim.run(300_100);
+        assertTrue(cluster.state.requests() - requestsBefore < 20, "such ids cost no reads of the state service");
+        assertFalse(cluster.checker.lastStatusByJob.containsKey(id));
+        ClusterAssertions.assertInvariantsHold(cluster);
+    }
+
     /** The leader crashes repeatedly, at times that hit every step of a move. */
     @ParameterizedTest
     @ValueSource(longs = {11, 12, 13, 14})
