Limit small tasks by what small tasks take of a machine's report

What users would have seen: an urgent task of less than a hundredth of a machine stops many others, where the machine's report lists as many small tasks as it may and larger ones beside them.

Cause: the quarter of the report that is kept from small tasks was deducted from the free room. The larger tasks that use the quarter then kept small ones out again, and preemption stopped tasks until the quarter was free once more.

Change: small tasks have a room of their own, three quarters of the report; larger tasks do not reduce it.

--- a/controller/src/main/java/org/landingridge/controller/leader/CandidateNodeBuilder.java
+++ b/controller/src/main/java/org/landingridge/controller/leader/CandidateNodeBuilder.java
@@ -85,7 +85,7 @@
         boolean hasUnknownJob = false;
         for (Attempt attempt : machine.attempts().values()) {
             if (!attempt.isLive()) {
-                node.addEndedAttempt(attempt.jobId());
+                node.addEndedAttempt(attempt.jobId(), attempt.spec());
                 continue;
             }
             isIdle = false;
--- a/controller/src/main/java/org/landingridge/controller/scheduling/CandidateNode.java
+++ b/controller/src/main/java/org/landingridge/controller/scheduling/CandidateNode.java
@@ -80,8 +80,8 @@
         this.machine = machine;
         this.up = up;
         this.images = images;
-        this.free = Room.of(type);
-        this.freeAfterStops = Room.of(type);
+        this.free = new Room(type);
+        this.freeAfterStops = new Room(type);
     }
 
     /** Adds a task that occupies room on the machine; a task without a known specification takes all of it. */
@@ -98,9 +98,13 @@
         }
     }
 
-    /** Adds an attempt that has ended and is still listed in the machine's heartbeats. */
-    public void addEndedAttempt(String jobId) {
-        free.takeEnded(jobId);
+    /**
+     * Adds an attempt that has ended and is still listed in the machine's heartbeats.
+     *
+     * @param spec specification of its job; null if unknown
+     */
+    public void addEndedAttempt(String jobId, JobSpec spec) {
+        free.takeEnded(jobId, spec);
         listsEndedAttempts = true;
     }
 
--- a/controller/src/main/java/org/landingridge/controller/scheduling/Room.java
+++ b/controller/src/main/java/org/landingridge/controller/scheduling/Room.java
@@ -13,30 +13,35 @@
     private static final double ROUNDING_TOLERANCE = 1e-6;
     /** A task that takes less than this share of the machine is small: heartbeats can be full before the machine is. */
     private static final double SMALL_TASK_SHARE = 0.01;
-    /** Heartbeat room that small tasks leave free, in bytes: tasks that use the machine's CPUs must not wait behind them. */
-    private static final int BYTES_KEPT_FROM_SMALL_TASKS = Heartbeat.MAX_ENTRIES_BYTES / 4;
+    /** Heartbeat room that small tasks may take, in bytes: tasks that use the machine's CPUs must not wait behind them. */
+    private static final int MAX_SMALL_TASK_BYTES = Heartbeat.MAX_ENTRIES_BYTES / 4 * 3;
 
     private final MachineType type;
     private double cpus;
     private double gpus;
     private double memoryGb;
     private int heartbeatBytes;
+    /** Room in the heartbeats for further small tasks, if there is as much room at all. */
+    private int smallTaskBytes;
 
-    private Room(MachineType type, double cpus, double gpus, double memoryGb, int heartbeatBytes) {
+    /** Creates the room of an empty machine. */
+    Room(MachineType type) {
         this.type = type;
-        this.cpus = cpus;
-        this.gpus = gpus;
-        this.memoryGb = memoryGb;
-        this.heartbeatBytes = heartbeatBytes;
-    }
-
-    /** Returns the room on an empty machine. */
-    static Room of(MachineType type) {
-        return new Room(type, type.cpus(), type.gpus(), type.memoryGb(), Heartbeat.MAX_ENTRIES_BYTES);
+        this.cpus = type.cpus();
+        this.gpus = type.gpus();
+        this.memoryGb = type.memoryGb();
+        this.heartbeatBytes = Heartbeat.MAX_ENTRIES_BYTES;
+        this.smallTaskBytes = MAX_SMALL_TASK_BYTES;
     }
 
     Room copy() {
-        return new Room(type, cpus, gpus, memoryGb, heartbeatBytes);
+        Room copy = new Room(type);
+        copy.cpus = cpus;
+        copy.gpus = gpus;
+        copy.memoryGb = memoryGb;
+        copy.heartbeatBytes = heartbeatBytes;
+        copy.smallTaskBytes = smallTaskBytes;
+        return copy;
     }
 
     double cpus() {
@@ -48,7 +53,12 @@
         cpus -= task.cpus();
         gpus -= task.gpus();
         memoryGb -= task.memoryGb();
-        heartbeatBytes -= Heartbeat.maxEntryBytes(task.id());
+        takeHeartbeatBytes(Heartbeat.maxEntryBytes(task.id()), isSmall(task));
+    }
+
+    private void takeHeartbeatBytes(int bytes, boolean forSmallTask) {
+        heartbeatBytes -= bytes;
+        smallTaskBytes -= forSmallTask ? bytes : 0;
     }
 
     /** Adds the room of a task. */
@@ -56,12 +66,16 @@
         cpus += task.cpus();
         gpus += task.gpus();
         memoryGb += task.memoryGb();
-        heartbeatBytes += Heartbeat.maxEntryBytes(task.id());
+        takeHeartbeatBytes(-Heartbeat.maxEntryBytes(task.id()), isSmall(task));
     }
 
-    /** Deducts the room of an attempt that has ended and is still listed in the machine's heartbeats. */
-    void takeEnded(String jobId) {
-        heartbeatBytes -= Heartbeat.maxEntryBytes(jobId);
+    /**
+     * Deducts the room of an attempt that has ended and is still listed in the machine's heartbeats.
+     *
+     * @param task specification of its job; null if unknown
+     */
+    void takeEnded(String jobId, JobSpec task) {
+        takeHeartbeatBytes(Heartbeat.maxEntryBytes(jobId), task == null || isSmall(task));
     }
 
     /** Deducts all room. */
@@ -104,7 +118,7 @@
     }
 
     private int usableHeartbeatBytes(JobSpec task) {
-        return heartbeatBytes - (isSmall(task) ? BYTES_KEPT_FROM_SMALL_TASKS : 0);
+        return isSmall(task) ? Math.min(smallTaskBytes, heartbeatBytes) : heartbeatBytes;
     }
 
     private boolean isSmall(JobSpec task) {
--- a/controller/src/test/java/org/landingridge/controller/scheduling/HeartbeatRoomTest.java
+++ b/controller/src/test/java/org/landingridge/controller/scheduling/HeartbeatRoomTest.java
@@ -103,7 +103,7 @@
     void endedAttemptsTakeRoomAndCauseNoPreemption() {
         CandidateNode node = nodeWithTasks(spec(1, false, Priority.LOW, 300, SMALL_CPUS), 300);
         for (int i = 300; i < MAX_ENTRIES; i++) {
-            node.addEndedAttempt("job-000001");
+            node.addEndedAttempt("job-000001", null);
         }
         SchedulingPlan plan = plan(List.of(node), group(spec(2, true, Priority.HIGH, 1, 2), 2));
         assertEquals(0, plan.placements.size());
@@ -119,6 +119,20 @@
         assertEquals(1, plan.tasksToStop.size());
     }
 
+    @Test
+    @DisplayName(
+            "a small task of higher priority preempts one small task, however many larger ones the heartbeat lists")
+    void smallTaskPreemptsOneTaskBesideManyLargerOnes() {
+        int smallTasks = MAX_ENTRIES * 3 / 4;
+        CandidateNode node = nodeWithTasks(spec(1, false, Priority.LOW, smallTasks, SMALL_CPUS), smallTasks);
+        JobSpec larger = spec(2, false, Priority.NORMAL, 80, 0.99);
+        for (int i = 0; i < larger.tasks(); i++) {
+            node.add(new CandidateNode.RunningTask(larger, 0, "larger-" + i, i, false));
+        }
+        SchedulingPlan plan = plan(List.of(node), group(spec(3, true, Priority.HIGH, 1, SMALL_CPUS), 3));
+        assertEquals(1, plan.tasksToStop.size());
+    }
+
     @Test
     @DisplayName(
             "tasks that end do not make machines be rented for the sake of heartbeats, replicas that do not end do")
