--- a/controller/src/test/java/org/landingridge/controller/scheduling/HeartbeatRoomTest.java
+++ b/controller/src/test/java/org/landingridge/controller/scheduling/HeartbeatRoomTest.java
@@ -26,27 +26,7 @@
     private static final int MAX_ENTRIES = Heartbeat.MAX_ENTRIES_BYTES / Heartbeat.maxEntryBytes("job-000001");
 
     private static JobSpec spec(int jobNumber, boolean service, Priority priority, int tasks, double cpus) {
-        return new JobSpec(
-                String.format("job-%06d", jobNumber),
-                "c",
-                "t",
-                service,
-                priority,
-                tasks,
-                cpus,
-                0,
-                cpus,
-                null,
-                0,
-                null,
-                null,
-                false,
-                false,
-                false,
-                30,
-                0,
-                0,
-                null);
+        return SchedulerTest.spec(jobNumber, service, priority, tasks, cpus, false, false, false);
     }
 
     private static TaskGroup group(JobSpec spec, int order) {
--- a/controller/src/test/java/org/landingridge/controller/scheduling/SchedulerTest.java
+++ b/controller/src/test/java/org/landingridge/controller/scheduling/SchedulerTest.java
@@ -23,7 +23,7 @@
     private static final MachineType MACHINE_TYPE =
             new MachineType("t4", 4, 0, 8, 30, 1, 1.0, 0.3, 30, List.of("a", "b"));
 
-    private static JobSpec spec(
+    static JobSpec spec(
             int jobNumber,
             boolean service,
             Priority priority,
