--- a/review/standins-2/Cloud.java
+++ b/review/standins-2/Cloud.java
@@ -14,6 +14,8 @@
     private final Map<String, List<Object>> bookings = new HashMap<>();
     private int lastMachine = 100;
     String address;
+    /** Runs when machines are to be returned, before they are gone. */
+    volatile Runnable onReturn = () -> {};
 
     Cloud(Cases.Setup setup) throws IOException {
         this.setup = setup;
@@ -97,6 +99,7 @@
     }
 
     private Web.Reply giveBack(Map<String, Object> request) {
+        onReturn.run();
         Cases.sleep(0.06);
         synchronized (this) {
             for (Object id : Json.list(request.get("boxes"))) {
--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -1,4 +1,3 @@
-import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -26,7 +25,6 @@
     final String zone;
     final boolean spot;
     final String address;
-    private final HttpServer server;
     private final double rentedAt = Rec.now();
     private final Map<String, Held> held = new LinkedHashMap<>();
     private long shift = 1;
@@ -39,8 +37,10 @@
     private int node;
     /** While true the machine hangs: it neither reports, answers nor executes. */
     volatile boolean hangs;
-    /** The network holds answers to direct calls back for so long, in seconds, once they are written. */
-    volatile double answersHeldS;
+    /** Direct calls that have arrived since the machine hangs. */
+    final java.util.concurrent.atomic.AtomicInteger callsInHang = new java.util.concurrent.atomic.AtomicInteger();
+    /** The network holds what the machine sends back for so long, in seconds. */
+    volatile double packetsHeldS;
 
     Worker(Cases.Setup setup, String id, String zone, boolean spot) throws IOException {
         this.setup = setup;
@@ -48,8 +48,7 @@
         this.zone = zone;
         this.spot = spot;
         this.node = Math.floorMod(id.hashCode(), setup.nodes.size());
-        server = Web.serve(this::handle);
-        address = Web.address(server);
+        address = Web.address(Web.serve(this::handle));
     }
 
     double ageS() {
@@ -78,7 +77,6 @@
         gone = true;
         held.values().forEach(task -> endOf(task, "the machine is gone"));
         held.clear();
-        server.stop(0);
     }
 
     private void endOf(Held task, String why) {
@@ -148,6 +146,7 @@
             session = shift;
             body = body();
         }
+        Cases.sleep(packetsHeldS);
         Web.Reply reply = Web.call("POST", setup.nodes.get(node), "/hello", body, 4);
         awaitResume();
         synchronized (this) {
@@ -217,10 +216,17 @@
     }
 
     private Web.Reply handle(String method, String path, Map<String, String> query, String text) {
+        if (hangs) {
+            callsInHang.incrementAndGet();
+        }
         awaitResume();
+        // A machine that is gone gives no answer, and connections to it hang.
+        while (isGone()) {
+            Cases.sleep(60);
+        }
         Web.Reply reply;
         synchronized (this) {
-            if (gone || !up) {
+            if (!up) {
                 return null;
             }
             expireLease();
@@ -237,9 +243,9 @@
                 reply = new Web.Reply(200, body());
             }
         }
-        if (answersHeldS > 0) {
-            Rec.log("%s: answer to a call is held back by the network for %.1f s: %s", id, answersHeldS, reply.body());
-            Cases.sleep(answersHeldS);
+        if (packetsHeldS > 0) {
+            Rec.log("%s: answer to a call is held back by the network for %.1f s: %s", id, packetsHeldS, reply.body());
+            Cases.sleep(packetsHeldS);
         }
         return reply;
     }
