Replace review case 6: a job is started after its cancellation was confirmed

Result: the leader that the state service refuses alone starts a cancelled job 0.6 to 1.1 s after the user was told.

--- a/review/standins-2/StateService.java
+++ b/review/standins-2/StateService.java
@@ -4,7 +4,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** The state service as PROTOCOL describes it, with a door of its own for each controller. */
 final class StateService {
@@ -54,9 +56,23 @@
         Web.THREADS.execute(this::expireLeases);
     }
 
-    /** Opens a door; a controller is told this address. */
+    /** The doors at which every request is refused with 503; watches that are open wait. */
+    final Set<Integer> refused = ConcurrentHashMap.newKeySet();
+    private int doors;
+
+    /** Opens the next door; a controller is told this address. */
     String door() throws IOException {
-        HttpServer server = Web.serve(this::handle);
+        int door = doors++;
+        HttpServer server = Web.serve((method, path, query, body) -> {
+            if (refused.contains(door)) {
+                return new Web.Reply(503, Json.of("error", "trouble"));
+            }
+            Web.Reply reply = handle(method, path, query, body);
+            while (path.equals("/watch") && refused.contains(door)) {
+                Cases.sleep(0.02);
+            }
+            return reply;
+        });
         return Web.address(server);
     }
 
