Ignore replies of machines that were returned to the cloud

Cause: a reply to a call that arrives after the cloud's confirmation of its machine's return was merged into the machine, which was in no table any more. A running attempt in the reply was adopted, and no lease of such a machine ever expires. Heartbeats of returned machines were refused, replies to commands and to probes were not.

Change: HeartbeatHandler.mergeReply ignores the reply of a machine that is gone, for both kinds of calls, with a log line and the counter landingridge_late_replies; a gone machine is not probed.

--- a/controller/src/main/java/org/landingridge/controller/fleet/HeartbeatHandler.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/HeartbeatHandler.java
@@ -47,9 +47,18 @@
      *
      * @param session the newest session known when the call was sent
      * @param seq     the newest sequence number known when the call was sent
-     * @return false if the reply is outdated
+     * @return false if the reply is outdated, or the machine is gone
      */
     boolean mergeReply(Machine machine, Heartbeat heartbeat, long session, long seq) {
+        if (machine.isGone()) {
+            // The machine is in no table any more: a task adopted on it would count as running without end.
+            LOG.info(
+                    "late reply of a returned machine ignored, machine={} tasks={}",
+                    machine.id(),
+                    heartbeat.tasks().size());
+            context.metrics().lateReplies.increment();
+            return false;
+        }
         // Sequence numbers only grow within an incarnation: a reply with an older one comes from a restarted worker,
         // and its earlier tasks are gone. Without this check, the machine and these tasks would count as alive
         // indefinitely, since all heartbeats of the new process look outdated.
--- a/controller/src/main/java/org/landingridge/controller/fleet/Machine.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Machine.java
@@ -159,6 +159,11 @@
         return state == State.UP;
     }
 
+    /** Returns true once the machine has been returned to the cloud, or taken back: nothing is on it any more. */
+    boolean isGone() {
+        return state == State.GONE;
+    }
+
     /** Returns true if heartbeats are expected: the machine is up, or it sent heartbeats to an earlier leader. */
     boolean heartbeatsExpected() {
         return isUp() || (unverified && state == State.BOOTING);
--- a/controller/src/main/java/org/landingridge/controller/fleet/MachineProbe.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/MachineProbe.java
@@ -44,6 +44,7 @@
 
     private void probe(Machine machine, int retries) {
         if (closed
+                || machine.isGone()
                 || machine.address() == null
                 || !machine.calls().probeDue(context.now())
                 || !context.leadership().mayAct()
--- a/controller/src/main/java/org/landingridge/controller/observability/Metrics.java
+++ b/controller/src/main/java/org/landingridge/controller/observability/Metrics.java
@@ -28,6 +28,9 @@
     public final Counter lost = counter("lost", "attempts lost with their machine or session");
     /** Machines without heartbeats that were returned, so that their tasks may start elsewhere. */
     public final Counter settled = counter("settled", "silent machines given back to settle what they held");
+    /** Replies to calls that arrived after their machine had been returned. */
+    public final Counter lateReplies =
+            counter("late.replies", "replies to calls that arrived after their machine was given back");
     /** Operations of unknown outcome beyond the query limit. */
     public final Counter escalated = counter("escalated", "operations unsettled beyond the query limit");
     /** Ended jobs that this controller moved into the history. */
--- a/emulator/src/main/java/org/landingridge/emulator/Simulation.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Simulation.java
@@ -141,6 +141,11 @@
         cuts.merge(b + ">" + a, 1, Integer::sum);
     }
 
+    /** Holds what the first host sends to the second until the end of the cut; the other way stays open. */
+    public void cutOneWay(String from, String to) {
+        cuts.merge(from + ">" + to, 1, Integer::sum);
+    }
+
     /** Ends one cut between two hosts. */
     public void heal(String a, String b) {
         for (String way : List.of(a + ">" + b, b + ">" + a)) {
