--- a/controller/src/main/java/org/landingridge/controller/fleet/ActiveJobs.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/ActiveJobs.java
@@ -53,7 +53,7 @@
                 if (job.status() == Job.Status.CANCELLED) {
                     // Another controller may have confirmed the cancellation to the user at any time since this leader
                     // last read all cancellations.
-                    attempt.setStartDeadline(context.leadership().freshnessDeadline());
+                    attempt.start().setDeadline(context.leadership().freshnessDeadline());
                 }
                 anyDetached = true;
             }
--- a/controller/src/main/java/org/landingridge/controller/fleet/Attempt.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Attempt.java
@@ -26,8 +26,6 @@
     }
 
     private static final long NEVER = Long.MIN_VALUE / 2;
-    /** A start sent in a direct call is left out of heartbeat answers for this long; after that the call may be lost. */
-    private static final long DIRECT_START_IN_FLIGHT_MS = 300;
     /** Least time between the last stop and its repetition in a direct call. */
     private static final long DIRECT_STOP_RETRY_MS = 1_000;
 
@@ -46,20 +44,11 @@
     /** Sequence number of the newest heartbeat or call reply that shows the attempt, -1 if none does. */
     private long lastReportSeq = -1;
 
-    /** Sequence number of the heartbeat whose answer last carried the start, -1 if none did. */
-    private long startAnswerSeq = -1;
-    /** When the start was sent in a direct call that is still in flight. */
-    private long directStartSentAt = NEVER;
-    /** Fencing token of a direct call with the start that was not answered and may still arrive; 0 if there is none. */
-    private long unansweredStartToken;
-    /** Fencing token of the last direct call with the start, 0 if there was none: a duplicate may arrive late. */
-    private long directStartToken;
+    private final StartDelivery start = new StartDelivery();
 
     private boolean stopRequested;
     private double graceS;
     private long stopSentAt = NEVER;
-    /** Set when its job is cancelled: from then on the machine's lease is not renewed while the start may still arrive. */
-    private long startDeadline = Long.MAX_VALUE;
 
     /** Creates an attempt that this leader starts. */
     Attempt(Machine machine, Task placedTask, long number, long now) {
@@ -189,57 +178,19 @@
 
     // ---- the start in transit ----
 
-    /** Returns the sequence number of the heartbeat whose answer last carried the start, or -1. */
-    long startAnswerSeq() {
-        return startAnswerSeq;
-    }
-
-    /** Records that the answer to a heartbeat carries the start. */
-    void markStartInAnswer(long seq) {
-        startAnswerSeq = seq;
+    /** Returns how the start was sent to the worker. */
+    StartDelivery start() {
+        return start;
     }
 
     /** Returns whether the start is still to be sent in a direct call. */
     boolean startDueInCall() {
-        return state == State.STARTING && !stopRequested && startAnswerSeq < 0 && unansweredStartToken == 0;
+        return state == State.STARTING && !stopRequested && start.isUnsent();
     }
 
     /** Returns whether the start is to be sent in a heartbeat answer; a recent direct call with it is not duplicated. */
     boolean startDueInAnswer(long now) {
-        return state == State.STARTING && !stopRequested && now - directStartSentAt > DIRECT_START_IN_FLIGHT_MS;
-    }
-
-    /** Records that a direct call under a fencing token carries the start. */
-    void beginDirectStart(long now, long token) {
-        directStartSentAt = now;
-        directStartToken = token;
-    }
-
-    /** Records that the direct call has ended, answered or not. */
-    void endDirectStart() {
-        directStartSentAt = NEVER;
-    }
-
-    /** Records that a direct call was not answered: the start may have arrived or may arrive later. */
-    void markDirectStartUnanswered(long token) {
-        unansweredStartToken = token;
-    }
-
-    /** Returns the fencing token of an unanswered direct call whose start may still arrive, or 0. */
-    long unansweredStartToken() {
-        return unansweredStartToken;
-    }
-
-    /** Returns whether the start in an unanswered direct call may still arrive. */
-    boolean startMayArrive() {
-        return unansweredStartToken != 0;
-    }
-
-    /** Records a fencing token that the machine has shown: it ignores a start under a lower one. */
-    void observeToken(long token) {
-        if (unansweredStartToken != 0 && token > unansweredStartToken) {
-            unansweredStartToken = 0;
-        }
+        return state == State.STARTING && !stopRequested && !start.isDirectCallRecent(now);
     }
 
     /**
@@ -247,12 +198,12 @@
      * session of the duplicate still match until the machine has seen a higher token.
      */
     boolean duplicateCouldRun() {
-        return directStartToken != 0 && machine.incarnation().token() <= directStartToken;
+        return start.duplicateCouldRun(machine.incarnation().token());
     }
 
     /** Returns whether the attempt has ended and a late duplicate of its start under this token could run it again. */
     boolean duplicateCouldRunUnder(long token) {
-        return state == State.EXITED && duplicateCouldRun() && directStartToken == token;
+        return state == State.EXITED && duplicateCouldRun() && start.wasSentUnder(token);
     }
 
     // ---- the stop ----
@@ -288,13 +239,8 @@
         stopSentAt = now;
     }
 
-    /** Sets the time from which the machine's lease is not renewed while the start may still arrive. */
-    void setStartDeadline(long deadline) {
-        startDeadline = deadline;
-    }
-
     /** Returns whether the start may still arrive after its deadline, which only the end of the machine's session prevents. */
     boolean requiresLeaseExpiry(long now) {
-        return state == State.STARTING && unansweredStartToken != 0 && now >= startDeadline;
+        return state == State.STARTING && start.mayArriveAfterDeadline(now);
     }
 }
--- a/controller/src/main/java/org/landingridge/controller/fleet/AttemptTracker.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/AttemptTracker.java
@@ -250,8 +250,8 @@
         // arrive after the next heartbeat: the worker has one in flight and drops late answers. If it was sent in a
         // direct call, it cannot arrive after the call has been answered.
         boolean startCannotArrive = isHeartbeat
-                && heartbeat.seq() > attempt.startAnswerSeq()
-                && !attempt.startMayArrive()
+                && heartbeat.seq() > attempt.start().answerSeq()
+                && !attempt.start().mayArrive()
                 && !attempt.machine().calls().inFlight();
         if (attempt.stopRequested() && startCannotArrive) {
             release(attempt, "the start was withdrawn");
--- a/controller/src/main/java/org/landingridge/controller/fleet/CommandComposer.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/CommandComposer.java
@@ -38,7 +38,7 @@
         if (machine.isUp()) {
             for (Attempt attempt : machine.attempts().values()) {
                 if (attempt.startDueInAnswer(now) && addStart(attempt, commands)) {
-                    attempt.markStartInAnswer(seq);
+                    attempt.start().markInAnswer(seq);
                 }
             }
         }
@@ -105,7 +105,7 @@
         Task task = attempt.task();
         boolean resultUnstored = task != null && task.state() == Task.State.FINISHED && jobs.contains(attempt.jobId());
         // If the machine forgot the attempt, a start that arrives late would run the task again.
-        return !resultUnstored && !attempt.startMayArrive() && !attempt.duplicateCouldRun();
+        return !resultUnstored && !attempt.start().mayArrive() && !attempt.duplicateCouldRun();
     }
 
     private static boolean addStart(Attempt attempt, Commands commands) {
--- a/controller/src/main/java/org/landingridge/controller/fleet/CommandDispatcher.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/CommandDispatcher.java
@@ -90,7 +90,7 @@
     private void send(Machine machine, CommandComposer.DirectCall directCall, long now) {
         long token = context.leadership().token();
         List<Attempt> starts = directCall.starts();
-        starts.forEach(attempt -> attempt.beginDirectStart(now, token));
+        starts.forEach(attempt -> attempt.start().beginDirectCall(now, token));
         machine.calls().begin();
         callsInFlight++;
         long session = machine.incarnation().session();
@@ -99,12 +99,12 @@
         context.http().call(machine.address(), "POST", "/commands", body, CALL_TIMEOUT_MS, reply -> {
             machine.calls().end();
             callsInFlight--;
-            starts.forEach(Attempt::endDirectStart);
+            starts.forEach(attempt -> attempt.start().endDirectCall());
             if (!closed) {
                 context.loop().after(0, this::flush);
                 handleReply(machine, reply, session, seq);
                 if (reply.outcome() == Http.Outcome.UNKNOWN || reply.outcome() == Http.Outcome.TOO_LARGE) {
-                    starts.forEach(attempt -> attempt.markDirectStartUnanswered(token));
+                    starts.forEach(attempt -> attempt.start().markUnanswered(token));
                 }
             }
         });
--- a/controller/src/main/java/org/landingridge/controller/fleet/HeartbeatHandler.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/HeartbeatHandler.java
@@ -166,7 +166,7 @@
      */
     private static void countLostStartIfAny(Machine machine, long now) {
         for (Attempt attempt : machine.attempts().values()) {
-            if (attempt.state() == Attempt.State.STARTING && attempt.startMayArrive()) {
+            if (attempt.state() == Attempt.State.STARTING && attempt.start().mayArrive()) {
                 machine.failures().recordLostStart(now);
                 return;
             }
@@ -229,7 +229,7 @@
         boolean changed = false;
         List<Attempt> absent = List.of();
         for (Attempt attempt : machine.attempts().values()) {
-            attempt.observeToken(heartbeat.token());
+            attempt.start().observeToken(heartbeat.token());
             if (attempt.lastReportSeq() != heartbeat.seq()) {
                 absent = absent.isEmpty() ? new ArrayList<>() : absent;
                 absent.add(attempt);
--- a/controller/src/main/java/org/landingridge/controller/fleet/TokenRaiser.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/TokenRaiser.java
@@ -83,8 +83,8 @@
         for (Attempt attempt : machine.attempts().values()) {
             boolean unwanted = attempt.stopRequested() || attempt.state() == Attempt.State.EXITED;
             if (unwanted
-                    && attempt.startMayArrive()
-                    && attempt.unansweredStartToken() == context.leadership().token()
+                    && attempt.start().mayArrive()
+                    && attempt.start().unansweredToken() == context.leadership().token()
                     && now - attempt.knownSince() > WITHDRAWN_START_WAIT_MS) {
                 return true;
             }
