Notice a worker's restart also by what its reports can no longer say

Callers could see: a task runs on two machines, or a cancelled one runs again and is never stopped, after its machine's worker had restarted unnoticed and a late copy of a start command, which had been carried out and answered before, reached the new process.

Cause: a restart was noticed only by a reply with a session and sequence not above those known before the call. A new process counts from the start and counts heartbeats that no controller answers too, so its numbers pass low known ones. Then the attempts of the former process were released at once as forgotten on command, while copies of their starts still had a valid token and session; and an ended attempt that was reported as running again was ignored.

Change: a report that lacks an attempt which was shown in this session under this leader's token and was not cleared, or that shows an ended one as running, is taken as what it is, a report of a new process.

--- a/controller/src/main/java/org/landingridge/controller/fleet/Attempt.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/Attempt.java
@@ -44,6 +44,9 @@
     /** Sequence number of the newest heartbeat or call reply that shows the attempt, -1 if none does. */
     private long lastReportSeq = -1;
 
+    /** The answer to a heartbeat has told the worker to drop the ended attempt; the answer may have been lost. */
+    private boolean clearSent;
+
     private final StartDelivery start = new StartDelivery();
 
     private boolean stopRequested;
@@ -176,6 +179,20 @@
         lastReportSeq = seq;
     }
 
+    /** Returns whether the worker has shown the attempt, in a heartbeat or in the reply to a call. */
+    boolean isShown() {
+        return lastReportSeq >= 0;
+    }
+
+    /** Returns whether the worker may have dropped the ended attempt on command. */
+    boolean clearSent() {
+        return clearSent;
+    }
+
+    void markClearSent() {
+        clearSent = true;
+    }
+
     // ---- the start in transit ----
 
     /** Returns how the start was sent to the worker. */
--- a/controller/src/main/java/org/landingridge/controller/fleet/CommandComposer.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/CommandComposer.java
@@ -95,8 +95,10 @@
 
     private void addForgets(Machine machine, Commands commands) {
         for (Attempt attempt : machine.attempts().values()) {
-            if (attempt.state() == Attempt.State.EXITED && mayForget(attempt)) {
-                commands.forget(attempt.jobId(), attempt.taskIndex(), attempt.number());
+            if (attempt.state() == Attempt.State.EXITED
+                    && mayForget(attempt)
+                    && commands.forget(attempt.jobId(), attempt.taskIndex(), attempt.number())) {
+                attempt.markClearSent();
             }
         }
     }
--- a/controller/src/main/java/org/landingridge/controller/fleet/HeartbeatHandler.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/HeartbeatHandler.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import org.agrona.collections.LongHashSet;
 import org.landingridge.net.Http;
 import org.landingridge.wire.Heartbeat;
 import org.landingridge.wire.InvalidMessageException;
@@ -64,30 +65,63 @@
         // indefinitely, since all heartbeats of the new process look outdated.
         if (!Incarnation.isNewer(heartbeat, session, seq)
                 && !machine.incarnation().restarted()) {
-            LOG.info(
-                    "worker restarted, machine={} session={} seq={} knownSession={} knownSeq={}",
-                    machine.id(),
-                    heartbeat.session(),
-                    heartbeat.seq(),
-                    session,
-                    seq);
-            context.incidents()
-                    .record("the worker of " + machine.id() + " was restarted; the tasks that it ran before are lost");
-            context.eventLog()
-                    .emit(
-                            "begun_anew",
-                            "machine",
-                            machine.id(),
-                            "zone",
-                            machine.zone(),
-                            "held",
-                            machine.liveAttempts());
-            machine.incarnation().markRestarted(context.leadership().token());
-            machine.unfence();
+            recordRestart(machine, heartbeat, "its reply is older than known before the call");
         }
         return merge(machine, heartbeat, false);
     }
 
+    /** Records that the worker was restarted: nothing that it sends counts until it has shown a higher token. */
+    private void recordRestart(Machine machine, Heartbeat heartbeat, String evidence) {
+        LOG.info(
+                "worker restarted, machine={} session={} seq={} knownSession={} knownSeq={} evidence={}",
+                machine.id(),
+                heartbeat.session(),
+                heartbeat.seq(),
+                machine.incarnation().session(),
+                machine.incarnation().seq(),
+                evidence);
+        context.incidents()
+                .record("the worker of " + machine.id() + " was restarted; the tasks that it ran before are lost");
+        context.eventLog()
+                .emit("begun_anew", "machine", machine.id(), "zone", machine.zone(), "held", machine.liveAttempts());
+        machine.incarnation().markRestarted(context.leadership().token());
+        machine.unfence();
+    }
+
+    /**
+     * Returns what in the report only a new process of the worker can say, or null if there is nothing. Within a process, a worker
+     * drops an attempt only on command and never runs one again that has ended. The numbers of a restarted worker may have passed
+     * those known before a call showed the restart. If its former attempts were simply released, a late copy of a start, with
+     * matching session and token, would run a task a second time.
+     */
+    private static String evidenceOfRestart(Machine machine, Heartbeat heartbeat) {
+        if (heartbeat.session() != machine.incarnation().session()) {
+            return null;
+        }
+        LongHashSet reported = new LongHashSet();
+        for (Heartbeat.Entry entry : heartbeat.tasks()) {
+            reported.add(entry.attempt());
+            Attempt attempt = machine.attempt(entry.attempt());
+            boolean hadEnded = attempt != null && attempt.state() == Attempt.State.EXITED;
+            if (hadEnded && entry.status() != Heartbeat.TaskStatus.EXITED) {
+                return "it runs an attempt again that had ended";
+            }
+        }
+        // Before the worker has shown this leader's token, an earlier leader may have had attempts cleared.
+        return machine.fenced() && lacksShownAttempt(machine, reported)
+                ? "it no longer reports an attempt that was not cleared"
+                : null;
+    }
+
+    private static boolean lacksShownAttempt(Machine machine, LongHashSet reported) {
+        for (Attempt attempt : machine.attempts().values()) {
+            if (attempt.isShown() && !attempt.clearSent() && !reported.contains(attempt.number())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Merges the state that a worker reports.
      *
@@ -111,6 +145,12 @@
             incarnation.countOutdated();
             return false;
         }
+        String evidence = evidenceOfRestart(machine, heartbeat);
+        if (evidence != null) {
+            recordRestart(machine, heartbeat, evidence);
+            incarnation.countOutdated();
+            return false;
+        }
         incarnation.resetOutdated();
         long now = context.now();
         boolean changed = !Objects.equals(machine.noticeS(), heartbeat.noticeS());
--- a/emulator/src/main/java/org/landingridge/emulator/EmulatedTasks.java
+++ b/emulator/src/main/java/org/landingridge/emulator/EmulatedTasks.java
@@ -98,6 +98,12 @@
         return null;
     }
 
+    /** True if the task runs. */
+    boolean runs(String name) {
+        return tasks.values().stream()
+                .anyMatch(task -> task.running() && task.task().equals(name));
+    }
+
     /** Processors that nothing takes. */
     double free() {
         double free = config.cpus();
--- a/emulator/src/main/java/org/landingridge/emulator/EmulatedWorker.java
+++ b/emulator/src/main/java/org/landingridge/emulator/EmulatedWorker.java
@@ -108,6 +108,21 @@
         return tasks.running();
     }
 
+    /** True if the task runs here. */
+    public boolean runs(String task) {
+        return tasks.runs(task);
+    }
+
+    /** The present session; a new process begins with 1. */
+    public long session() {
+        return session;
+    }
+
+    /** The highest fencing token that this process has seen. */
+    public long token() {
+        return token;
+    }
+
     /** Processors that nothing on it takes. */
     public double free() {
         return tasks.free();
