End the process after an error that it cannot work on after

Cause: an Error on the event loop's thread was caught nowhere in this project; the thread could end, or a library swallow the error, and the process stay.

--- a/controller/src/main/java/org/landingridge/controller/cli/RunCommand.java
+++ b/controller/src/main/java/org/landingridge/controller/cli/RunCommand.java
@@ -10,6 +10,7 @@
 import org.landingridge.controller.settings.InvalidSettingsException;
 import org.landingridge.controller.settings.Policy;
 import org.landingridge.controller.settings.Settings;
+import org.landingridge.net.FatalErrors;
 import org.landingridge.net.HttpClient;
 import org.landingridge.net.HttpServer;
 import org.landingridge.net.XnioEventLoop;
@@ -65,6 +66,7 @@
 
     /** Puts a controller together with its sockets, and starts it on its event loop. */
     static void start(Settings settings, Policy policy) throws IOException {
+        FatalErrors.endProcessWhenThreadEnds();
         XnioWorker worker = XnioEventLoop.worker();
         XnioEventLoop loop = new XnioEventLoop(worker.getIoThread());
         HttpClient client = new HttpClient(worker.getIoThread(), loop, idleConnections(settings));
--- a/net/src/main/java/org/landingridge/net/HttpServer.java
+++ b/net/src/main/java/org/landingridge/net/HttpServer.java
@@ -103,6 +103,8 @@
             // Nothing that a client sends may end the loop.
             LOG.error("{} {} failed", exchange.getRequestMethod(), exchange.getRequestPath(), e);
             send(exchange, 500, FAILED, 0);
+        } catch (Error e) {
+            FatalErrors.end("a request", e);
         }
     }
 
--- a/net/src/main/java/org/landingridge/net/XnioEventLoop.java
+++ b/net/src/main/java/org/landingridge/net/XnioEventLoop.java
@@ -75,6 +75,8 @@
                 task.run();
             } catch (RuntimeException e) {
                 LOG.error("a timer's task failed", e);
+            } catch (Error e) {
+                FatalErrors.end("a timer's task", e);
             }
         };
     }
