Bound the memory of large request bodies

Cause: bodies are collected whole, and a submission is kept, parsed, until it is answered; nothing bounded how many at a time.

Change: bodies of more than 4 KB take a sixteenth of the heap at most, from their first byte until their request is answered; beyond that a request gets 503 with Retry-After before its body is read. Small bodies are always read.

--- a/controller/src/main/java/org/landingridge/controller/cli/ClassDataTrainingCommand.java
+++ b/controller/src/main/java/org/landingridge/controller/cli/ClassDataTrainingCommand.java
@@ -10,6 +10,7 @@
 import org.landingridge.controller.settings.InvalidSettingsException;
 import org.landingridge.controller.settings.Policy;
 import org.landingridge.controller.settings.Settings;
+import org.landingridge.net.BodyLimits;
 import org.landingridge.net.HttpClient;
 import org.landingridge.net.HttpServer;
 import org.landingridge.net.XnioEventLoop;
@@ -103,7 +104,7 @@
         XnioEventLoop loop = new XnioEventLoop(worker.getIoThread());
         TrainingCluster cluster = new TrainingCluster(loop, LOOPBACK + ':' + standIn);
         InetSocketAddress listen = InetSocketAddress.createUnresolved(LOOPBACK, standIn);
-        new HttpServer(worker, listen, MessageLimits.MAX_MESSAGE_BYTES, cluster::answer).start();
+        new HttpServer(worker, listen, BodyLimits.ofHeap(MessageLimits.MAX_MESSAGE_BYTES), cluster::answer).start();
         RunCommand.start(settings, Policy.DEFAULT);
         HttpClient client = new HttpClient(worker.getIoThread(), loop, CLIENT_CONNECTIONS);
         schedule(loop, client, LOOPBACK + ':' + serve, cluster);
--- a/controller/src/main/java/org/landingridge/controller/cli/RunCommand.java
+++ b/controller/src/main/java/org/landingridge/controller/cli/RunCommand.java
@@ -10,6 +10,7 @@
 import org.landingridge.controller.settings.InvalidSettingsException;
 import org.landingridge.controller.settings.Policy;
 import org.landingridge.controller.settings.Settings;
+import org.landingridge.net.BodyLimits;
 import org.landingridge.net.FatalErrors;
 import org.landingridge.net.HttpClient;
 import org.landingridge.net.HttpServer;
@@ -83,8 +84,8 @@
         Controller controller =
                 new Controller(loop, client, peers, new SplittableRandom(seed(settings)), settings, policy);
         started.set(controller);
-        HttpServer server =
-                new HttpServer(worker, settings.listen(), MessageLimits.MAX_MESSAGE_BYTES, controller::serve);
+        BodyLimits bodyLimits = BodyLimits.ofHeap(MessageLimits.MAX_MESSAGE_BYTES);
+        HttpServer server = new HttpServer(worker, settings.listen(), bodyLimits, controller::serve);
         loop.after(
                 0,
                 () -> controller.start(() -> {
--- a/emulator/src/main/java/org/landingridge/emulator/LoopbackCluster.java
+++ b/emulator/src/main/java/org/landingridge/emulator/LoopbackCluster.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
+import org.landingridge.net.BodyLimits;
 import org.landingridge.net.HttpClient;
 import org.landingridge.net.HttpServer;
 import org.landingridge.net.XnioEventLoop;
@@ -89,7 +90,7 @@
         HttpServer http = new HttpServer(
                 worker,
                 new InetSocketAddress(HOST, Integer.parseInt(addr.substring(colon + 1))),
-                MAX_BODY,
+                BodyLimits.ofHeap(MAX_BODY),
                 server::serve);
         http.start();
         return http;
--- a/experiment/src/test/java/org/landingridge/experiment/HttpAnswerSizeTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/HttpAnswerSizeTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 import org.landingridge.emulator.LoopbackCluster;
+import org.landingridge.net.BodyLimits;
 import org.landingridge.net.Http;
 import org.landingridge.net.HttpClient;
 import org.landingridge.net.HttpServer;
@@ -39,7 +40,10 @@
     private Http.Reply callServerThatAnswers(int bytes) throws Exception {
         int port = LoopbackCluster.freePort();
         HttpServer server = new HttpServer(
-                worker, new InetSocketAddress(HOST, port), 1_024, exchange -> exchange.answer(200, new byte[bytes]));
+                worker,
+                new InetSocketAddress(HOST, port),
+                BodyLimits.ofHeap(1_024),
+                exchange -> exchange.answer(200, new byte[bytes]));
         server.start();
         CompletableFuture<Http.Reply> reply = new CompletableFuture<>();
         loop.after(0, () -> client.call(HOST + ":" + port, "GET", "/", null, TIMEOUT_MS, reply::complete));
--- a/net/src/main/java/org/landingridge/net/HttpServer.java
+++ b/net/src/main/java/org/landingridge/net/HttpServer.java
@@ -21,6 +21,11 @@
     private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
     private static final byte[] TOO_LARGE =
             "{\"error\":\"the body is larger than 64 KiB\"}".getBytes(StandardCharsets.UTF_8);
+    private static final byte[] BUSY =
+            "{\"error\":\"too many large bodies at a time\"}".getBytes(StandardCharsets.UTF_8);
+    /** Time after which a request that was refused for lack of memory is repeated, in seconds. */
+    private static final int RETRY_AFTER_S = 1;
+
     private static final byte[] FAILED = "{\"error\":\"internal error\"}".getBytes(StandardCharsets.UTF_8);
     private static final int BUFFER_BYTES = 4096;
     private static final int BACKLOG = 512;
@@ -32,17 +37,18 @@
 
     private final Consumer<Http.Exchange> handler;
     private final int maxBody;
+    private final BodyMemory bodyMemory;
     private final Undertow undertow;
 
     /**
      * A server that does not listen yet.
      *
-     * @param maxBody bytes of a body; a request with more is answered with 400
      * @param handler is given every request, on the event loop
      */
-    public HttpServer(XnioWorker worker, InetSocketAddress listen, int maxBody, Consumer<Http.Exchange> handler) {
+    public HttpServer(XnioWorker worker, InetSocketAddress listen, BodyLimits limits, Consumer<Http.Exchange> handler) {
         this.handler = handler;
-        this.maxBody = maxBody;
+        this.maxBody = limits.maxBytes();
+        this.bodyMemory = new BodyMemory(limits.maxTotalBytes());
         this.undertow = Undertow.builder()
                 .setWorker(worker)
                 .addHttpListener(listen.getPort(), listen.getHostString(), this::handle)
@@ -72,6 +78,11 @@
             refuseBody(exchange);
             return;
         }
+        if (!bodyMemory.reserve(exchange, mostBodyBytes(exchange))) {
+            exchange.setPersistent(false);
+            send(exchange, 503, BUSY, RETRY_AFTER_S);
+            return;
+        }
         Receiver receiver = exchange.getRequestReceiver();
         receiver.setMaxBufferSize(maxBody);
         receiver.receiveFullBytes(
@@ -79,6 +90,15 @@
                 HttpServer::receiveFailed);
     }
 
+    /** Returns the size of the body that is still to come; the limit if the request does not tell it. */
+    private int mostBodyBytes(HttpServerExchange exchange) {
+        if (exchange.isRequestComplete()) {
+            return 0;
+        }
+        long length = exchange.getRequestContentLength();
+        return length < 0 ? maxBody : (int) length;
+    }
+
     private static void receiveFailed(HttpServerExchange exchange, IOException error) {
         if (error instanceof Receiver.RequestToLargeException) {
             refuseBody(exchange);
