Keep a leader's timers alive, and give up leadership when they fail

Callers could see: after one exception out of a client library a leader kept its lease and answered /ready, but expired no lease, probed no machine and raised no token; the service of a lost machine was not started again.

Cause: the fleet cycle, the leader term's timer and the lease timer set their next run as the last step of a run; a run that threw set none. A scheduling cycle that threw each time was only logged.

Change: PeriodicTask sets the next run whatever the run throws, and GuardedTask counts failures in a row: after five of a timer or of the scheduling cycle the leader resigns, and the log says why.

--- a/controller/src/main/java/org/landingridge/controller/election/Leadership.java
+++ b/controller/src/main/java/org/landingridge/controller/election/Leadership.java
@@ -8,6 +8,7 @@
 import org.landingridge.controller.store.StoreAccess;
 import org.landingridge.controller.store.WatchCache;
 import org.landingridge.net.EventLoop;
+import org.landingridge.net.PeriodicTask;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -104,7 +105,14 @@
 
     /** Starts the timer that drives claims and renewals. */
     public void start() {
-        tick();
+        new PeriodicTask(loop, "lease timer", settings.leaseMs() / 6, this::tick, this::resign).start();
+    }
+
+    /** Gives up leadership, so that another controller can lead: this one cannot do a leader's work. */
+    public void resign(String reason) {
+        if (leads()) {
+            handOverLeadership(reason);
+        }
     }
 
     /** Returns the election state of this controller. */
@@ -202,7 +210,6 @@
             case LEADING, PROMISED, SUSPENDED -> maintainLeadership();
             case CLAIMING -> {}
         }
-        loop.after(settings.leaseMs() / 6, this::tick);
     }
 
     private void maintainLeadership() {
--- a/controller/src/main/java/org/landingridge/controller/fleet/FleetCycle.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/FleetCycle.java
@@ -1,5 +1,6 @@
 package org.landingridge.controller.fleet;
 
+import org.landingridge.net.PeriodicTask;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -16,8 +17,8 @@
     private final FleetContext context;
     private final Parts parts;
     private final TokenRaiser tokenRaiser;
+    private final PeriodicTask timer;
     private long lastTickAt;
-    private boolean closed;
 
     /** The parts of the fleet that the cycle drives. */
     record Parts(
@@ -34,6 +35,7 @@
         this.context = context;
         this.parts = parts;
         this.tokenRaiser = new TokenRaiser(context);
+        this.timer = new PeriodicTask(context.loop(), "fleet cycle", TICK_MS, this::tick, context.leadership()::resign);
     }
 
     /** Starts the cycle with a first tick. */
@@ -42,18 +44,15 @@
         parts.healthMonitor.listenFrom(now);
         lastTickAt = now;
         tokenRaiser.start(now);
-        tick();
+        timer.start();
     }
 
     /** Stops the cycle: no further tick runs. */
     void close() {
-        closed = true;
+        timer.stop();
     }
 
     private void tick() {
-        if (closed) {
-            return;
-        }
         long now = context.now();
         checkProcessPause(now);
         lastTickAt = now;
@@ -67,7 +66,6 @@
         }
         parts.machines.expireReturned(now);
         tokenRaiser.raiseIfDue(now);
-        context.loop().after(TICK_MS, this::tick);
     }
 
     /** After a pause of the process, heartbeats are missing for that reason, which is no evidence that machines are silent. */
--- a/controller/src/main/java/org/landingridge/controller/leader/LeaderTerm.java
+++ b/controller/src/main/java/org/landingridge/controller/leader/LeaderTerm.java
@@ -23,7 +23,9 @@
 import org.landingridge.controller.store.BatchWriter;
 import org.landingridge.controller.store.Keys;
 import org.landingridge.net.EventLoop;
+import org.landingridge.net.GuardedTask;
 import org.landingridge.net.Http;
+import org.landingridge.net.PeriodicTask;
 import org.landingridge.wire.Heartbeat;
 import org.landingridge.wire.JobSpec;
 import org.slf4j.Logger;
@@ -60,7 +62,7 @@
     private final SchedulingCycle schedulingCycle;
     private final InstanceReconciler instanceReconciler;
     private final LeaderStatus leaderStatus;
-    private boolean closed;
+    private final PeriodicTask timer;
 
     /**
      * Loads the stored documents and starts the term.
@@ -75,7 +77,8 @@
         this.writer = context.writer();
         this.settings = context.settings();
         this.jobTable = context.jobTable();
-        trigger = new SchedulingTrigger(loop, this::visitCount, this::schedule);
+        trigger = new SchedulingTrigger(loop, this::visitCount, guarded("scheduling cycle", this::schedule));
+        timer = new PeriodicTask(loop, "leader term's timer", TICK_INTERVAL_MS, this::tick, leadership::resign);
         forecast = new RuntimeForecast(settings.objectives(), context.policy());
         fleet = createFleet();
         context.metrics().takeovers.increment();
@@ -104,9 +107,17 @@
                 observationWindow::recordMachineList);
         leaderStatus = new LeaderStatus(fleet, operations, failoverProgress);
         reportStart();
+        start();
+    }
+
+    private void start() {
         fleet.start();
         compactor.start();
-        tick();
+        timer.start();
+    }
+
+    private GuardedTask guarded(String name, Runnable task) {
+        return new GuardedTask(name, task, leadership::resign);
     }
 
     private Fleet createFleet() {
@@ -179,7 +190,7 @@
 
     /** Ends the term. Nothing more is written or sent on its behalf. */
     public void close() {
-        closed = true;
+        timer.stop();
         trigger.close();
         compactor.close();
         instanceReconciler.close();
@@ -242,9 +253,6 @@
     }
 
     private void tick() {
-        if (closed) {
-            return;
-        }
         if (leadership.mayAct()) {
             instanceReconciler.returnUnusableMachines(loop.now());
             instanceReconciler.requestList();
@@ -252,7 +260,6 @@
             cancellationWriter.markUnpersisted();
             trigger.requestCycle();
         }
-        loop.after(TICK_INTERVAL_MS, this::tick);
     }
 
     /** Forwards events of the fleet. An inner class, since the fleet is created before the components that handle them. */
--- a/emulator/src/main/java/org/landingridge/emulator/Simulation.java
+++ b/emulator/src/main/java/org/landingridge/emulator/Simulation.java
@@ -8,6 +8,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import org.landingridge.net.EventLoop;
 import org.landingridge.net.Http;
@@ -26,6 +27,13 @@
         void record(byte[] bytes);
     }
 
+    /** A call that throws, see {@link #throwingCalls}. */
+    private static final class CallException extends RuntimeException {
+        CallException(String message) {
+            super(message);
+        }
+    }
+
     /** Something that waits for the end of a cut. */
     private record Held(String way, Runnable go) {}
 
@@ -104,6 +112,9 @@
     /** Share of answers that get lost after the request was carried out, by target host. */
     public final Map<String, Double> lostAnswerShareByHost = new HashMap<>();
 
+    /** Calls that throw, as a client library may, by name of the caller and address of the server. */
+    public BiPredicate<String, String> throwingCalls = (from, address) -> false;
+
     public Simulation(long seed) {
         random = new Random(seed);
     }
@@ -129,12 +140,21 @@
             if (e.host.frozenUntil > now && e.host.life == e.life) {
                 events.add(new Event(e.host.frozenUntil, e.order, e.host, e.life, e.task, e.cancelled));
             } else if (!e.cancelled[0] && e.host.up && e.host.life == e.life) {
-                e.task.run();
+                runGuarded(e.task);
             }
         }
         now = until;
     }
 
+    /** As on the real loop, a call that throws ends the task that made it and nothing else. */
+    private static void runGuarded(Runnable task) {
+        try {
+            task.run();
+        } catch (CallException expected) {
+            // The real loop logs it.
+        }
+    }
+
     /** Cuts the way between two hosts; what is sent meanwhile is held and delivered at the end of the cut. */
     public void cut(String a, String b) {
         cuts.merge(a + ">" + b, 1, Integer::sum);
@@ -203,6 +223,9 @@
     /** The HTTP client of a host. */
     public Http client(Host from) {
         return (addr, method, path, body, timeoutMs, done) -> {
+            if (throwingCalls.test(from.name, addr)) {
+                throw new CallException("the call to " + addr + " fails");
+            }
             boolean[] over = new boolean[1];
             int fromLife = from.life;
             Consumer<Http.Reply> once = reply -> {
