--- a/controller/src/main/java/org/landingridge/controller/fleet/HeartbeatHandler.java
+++ b/controller/src/main/java/org/landingridge/controller/fleet/HeartbeatHandler.java
@@ -95,7 +95,8 @@
      * matching session and token, would run a task a second time.
      */
     private static String evidenceOfRestart(Machine machine, Heartbeat heartbeat) {
-        if (heartbeat.session() != machine.incarnation().session()) {
+        if (machine.attempts().isEmpty()
+                || heartbeat.session() != machine.incarnation().session()) {
             return null;
         }
         LongHashSet reported = new LongHashSet();
