--- a/experiment/src/test/java/org/landingridge/experiment/LateStartCopyTest.java
+++ b/experiment/src/test/java/org/landingridge/experiment/LateStartCopyTest.java
@@ -107,10 +107,7 @@
         scenario.cluster.users.cancel(StartCopyScenario.JOB_ID);
         scenario.run(ClusterSetup.CANCEL_MS + 1_000);
         scenario.countStarts();
-        for (int copies = 0; copies < 10; copies++) {
-            scenario.deliverCopy();
-            scenario.run(1_000);
-        }
+        scenario.deliverCopies();
         assertEquals(0, scenario.copyStarts(), "the cancelled task runs again");
         assertInvariantsHold(scenario.cluster);
     }
@@ -131,7 +128,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 4, 6, 7, 8})
+    @ValueSource(longs = {1, 2, 4, 6, 7, 8, 13, 22, 27})
     @DisplayName("a task that failed and moved does not run twice by a late copy where its worker restarted unnoticed")
     void copyDoesNotRunMovedTaskAfterUnnoticedRestart(long seed) {
         StartCopyScenario scenario = new StartCopyScenario(seed, 7);
@@ -142,10 +139,7 @@
         scenario.restartUnnoticed();
         scenario.run(12_000);
         scenario.countStarts();
-        for (int copies = 0; copies < 10; copies++) {
-            scenario.deliverCopy();
-            scenario.run(1_000);
-        }
+        scenario.deliverCopies();
         assertEquals(0, scenario.copyStarts(), "the task runs again where it was before");
         assertInvariantsHold(scenario.cluster);
         assertTrue(scenario.cluster.allTasksRun(StartCopyScenario.JOB_ID, 1));
--- a/experiment/src/test/java/org/landingridge/experiment/StartCopyScenario.java
+++ b/experiment/src/test/java/org/landingridge/experiment/StartCopyScenario.java
@@ -237,6 +237,14 @@
         restart(Restarted.WORKER);
     }
 
+    /** Delivers ten copies of the call, one a second. */
+    void deliverCopies() {
+        for (int copies = 0; copies < 10; copies++) {
+            deliverCopy();
+            run(1_000);
+        }
+    }
+
     /** Delivers the call once more, long after it was answered. */
     void deliverCopy() {
         Simulation.Host network = cluster.sim.host("network");
